--- a/choice/choice.go
+++ b/choice/choice.go
@@ -201,7 +201,7 @@
 	for n.out < d.depth(n) && len(n.flows) > 0 {
 		f := n.flows[0]
 		r := f.line[0]
-		if late := d.now + d.delay(n) + n.service(r.Units) - r.aimAt; late > 0 && n.out > 0 {
+		if late := d.now + d.delay(n) + n.service(r.Units) - r.aimAt; late > 0 && (n.out > 0 || d.delay(n) > time.Duration(roomLate*float64(d.tightest))) {
 			d.refuse(r, late) // it would miss its aim in the node's own queue
 			continue
 		}
@@ -336,7 +336,7 @@
 	base += calm * (math.Sqrt(base*float64(r.class.Aim)) - base)
 	room := time.Duration(base * d.room(r))
 	room = min(room, r.aimAt-d.now-own)
-	idle := n.out == 0 && n.held == 0 && d.now >= n.until && lim == 0 && cold == 0
+	idle := n.out == 0 && n.held == 0 && need <= time.Duration(roomLate*float64(d.tightest))
 	if need > room && !idle {
 		d.refuse(r, need-room)
 		return
