--- a/choice/choice.go
+++ b/choice/choice.go
@@ -201,7 +201,7 @@
 	for n.out < d.depth(n) && len(n.flows) > 0 {
 		f := n.flows[0]
 		r := f.line[0]
-		if late := d.now + d.delay(n) + n.service(r.Units) - r.aimAt; late > 0 && (n.out > 0 || d.delay(n) > time.Duration(roomLate*float64(d.tightest))) {
+		if late := d.now + d.delay(n) + n.service(r.Units) - r.aimAt; late > 0 && !d.idle(n) {
 			d.refuse(r, late) // it would miss its aim in the node's own queue
 			continue
 		}
@@ -336,7 +336,7 @@
 	base += calm * (math.Sqrt(base*float64(r.class.Aim)) - base)
 	room := time.Duration(base * d.room(r))
 	room = min(room, r.aimAt-d.now-own)
-	idle := n.out == 0 && n.held == 0 && need <= time.Duration(roomLate*float64(d.tightest))
+	idle := d.idle(n) && d.now >= n.until && lim == 0 && cold == 0
 	if need > room && !idle {
 		d.refuse(r, need-room)
 		return
@@ -344,6 +344,14 @@
 	d.enqueue(r, n, false)
 }
 
+// idle tells whether a request may leave against the evidence, to find out anew. Nothing
+// out from here says little where many others send: so all dispatchers together send
+// the node no more than one such request in the time that it needs for one.
+func (d *Dispatcher) idle(n *node) bool {
+	gap := time.Duration(d.cfg.Peers-1) * n.service(max(d.cfg.UsualUnits, 1))
+	return n.out == 0 && n.held <= 1 && d.now-n.sentAt >= gap
+}
+
 // room is the delay that r may meet, in tightest aims, by its worth.
 func (d *Dispatcher) room(r *request) float64 {
 	v := r.vol
@@ -570,6 +578,7 @@
 	r.state, r.out, r.node, r.sentAt = sent, true, n, d.now
 	r.attempts++
 	n.out++
+	n.sentAt = d.now
 	n.outs = append(n.outs, r)
 	d.act(Attempt{ID: r.ID, Node: n.ID})
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -66,6 +66,7 @@
 	phiSum  float64 // of flows that hold requests
 	out     int
 	outs    []*request
+	sentAt  time.Duration
 	done    float64 // decayed count of served answers
 	doneAt  time.Duration
 	lat     float64 // expected delay, seconds
