--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,6 +46,8 @@
 	delayHalf              = time.Second
 	baseQuantile, baseGain = 0.3, 0.1
 
+	patient = 1.5 // times its uncrowded time that an attempt may take before it counts as lost
+
 	// Health: so many bad ends in a row, no answer between, make a node suspect.
 	suspectAfter     = 3
 	backoffMin       = 100 * time.Millisecond
@@ -580,7 +582,19 @@
 	n.out++
 	n.sentAt = d.now
 	n.outs = append(n.outs, r)
-	d.act(Attempt{ID: r.ID, Node: n.ID})
+	d.act(Attempt{ID: r.ID, Node: n.ID, Until: d.patience(r, n)})
+}
+
+// patience ends an attempt in time for another one within the aim, where class, budget
+// and time allow one and the answer should have come by then: a lost answer costs one
+// time-out. At a slow node, where a repeat would add to the load, none is set.
+func (d *Dispatcher) patience(r *request, n *node) time.Duration {
+	usual := d.delay(n) + n.service(patient*r.Units)
+	until := r.aimAt - usual
+	if n.base == 0 || until < d.now+usual || r.class.Effect == Unsafe || n.bad >= suspectAfter {
+		return 0
+	}
+	return until
 }
 
 // refuse gives the final answer: harmless to try again, with a time to come
@@ -774,12 +788,16 @@
 			n = m
 		}
 	}
-	if d.now+retryGap+d.delay(n)+n.service(r.Units) >= r.aimAt || s == TimedOut || !d.mayRepeat(r, n) {
+	gap := retryGap
+	if s == TimedOut {
+		gap = 0
+	}
+	if d.now+gap+d.delay(n)+n.service(r.Units) >= r.aimAt || !d.mayRepeat(r, n) {
 		d.refuse(r, d.delay(n))
 		return
 	}
 	r.state, r.node = resting, n
-	d.at(d.now+retryGap, &task{kind: doAgain, req: r})
+	d.at(d.now+gap, &task{kind: doAgain, req: r})
 }
 
 func (d *Dispatcher) onGone(e Gone) {
