--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,7 +46,9 @@
 	delayHalf              = time.Second
 	baseQuantile, baseGain = 0.3, 0.1
 
-	patient = 1.5 // times its uncrowded time that an attempt may take before it counts as lost
+	lostGain = 1.0 / 32
+	lossy    = 0.08 // share of answers lost from which attempts are given up early
+	patient  = 1.5  // times its uncrowded time that an attempt may take before it counts as lost
 
 	// Health: so many bad ends in a row, no answer between, make a node suspect.
 	suspectAfter     = 3
@@ -272,7 +274,7 @@
 		n.outs = n.outs[1:]
 	}
 	e := time.Duration(l * float64(time.Second))
-	if len(n.outs) > 0 {
+	if len(n.outs) > 0 && (d.lost < lossy || n.bad > 0) {
 		e = max(e, d.now-n.outs[0].sentAt-n.service(n.outs[0].Units))
 	}
 	return e
@@ -389,6 +391,7 @@
 func (d *Dispatcher) judge(n *node, r *request, e Outcome) {
 	switch e.Status {
 	case Served:
+		d.miss(n, r, e)
 		n.bad, n.until = 0, 0
 		n.done = n.done*decay(d.now-n.doneAt, rateSpan) + 1
 		n.doneAt = d.now
@@ -398,6 +401,10 @@
 		}
 	case Full, TimedOut, ConnectFailed, Dropped:
 		n.bad++
+		if e.Status == TimedOut {
+			n.missing++
+			n.missedAt = max(n.missedAt, r.sentAt)
+		}
 		if n.bad >= suspectAfter {
 			back := min(backoffMin<<min(n.bad-suspectAfter, 8), backoffMax)
 			n.until = d.now + time.Duration(float64(back)*(0.75+0.5*d.rng.Float64()))
@@ -406,6 +413,18 @@
 	}
 }
 
+// miss learns the share of answers that are lost: attempts that ran out of time while a
+// later one at the same node was answered without delay. A node that is silent, or slow,
+// answers none so; its time-outs prove nothing.
+func (d *Dispatcher) miss(n *node, r *request, e Outcome) {
+	d.lost *= 1 - lostGain
+	if r.sentAt > n.missedAt && (e.Took-n.service(r.Units)).Seconds() < crowded*d.tightest.Seconds() {
+		d.lost += lostGain * float64(n.missing) * (1 - d.lost)
+	}
+	d.lost = min(d.lost, 1)
+	n.missing = 0
+}
+
 // ---- 6. Guards of the rules. send is the only place that makes an attempt.
 
 // allowed tells whether every rule lets r leave for n now; else from when on,
@@ -591,7 +610,7 @@
 func (d *Dispatcher) patience(r *request, n *node) time.Duration {
 	usual := d.delay(n) + n.service(patient*r.Units)
 	until := r.aimAt - usual
-	if n.base == 0 || until < d.now+usual || r.class.Effect == Unsafe || n.bad >= suspectAfter {
+	if d.lost < lossy || n.base == 0 || until < d.now+usual || r.class.Effect == Unsafe || n.bad >= suspectAfter {
 		return 0
 	}
 	return until
--- a/choice/state.go
+++ b/choice/state.go
@@ -58,26 +58,28 @@
 
 type node struct {
 	Node
-	listed  bool
-	flows   flowHeap
-	v       float64
-	held    int
-	heldSum float64
-	phiSum  float64 // of flows that hold requests
-	out     int
-	outs    []*request
-	sentAt  time.Duration
-	done    float64 // decayed count of served answers
-	doneAt  time.Duration
-	lat     float64 // expected delay, seconds
-	latAt   time.Duration
-	slow    float64       // the same over seconds
-	base    float64       // uncrowded seconds of a unit
-	bad     int           // bad ends in a row
-	until   time.Duration // no sends before, when suspect
-	wake    time.Duration
-	spent   []spend // units sent within the last cold span
-	proof   []spend // units served within the last cold span
+	listed   bool
+	flows    flowHeap
+	v        float64
+	held     int
+	heldSum  float64
+	phiSum   float64 // of flows that hold requests
+	out      int
+	outs     []*request
+	missing  int
+	missedAt time.Duration
+	sentAt   time.Duration
+	done     float64 // decayed count of served answers
+	doneAt   time.Duration
+	lat      float64 // expected delay, seconds
+	latAt    time.Duration
+	slow     float64       // the same over seconds
+	base     float64       // uncrowded seconds of a unit
+	bad      int           // bad ends in a row
+	until    time.Duration // no sends before, when suspect
+	wake     time.Duration
+	spent    []spend // units sent within the last cold span
+	proof    []spend // units served within the last cold span
 }
 
 type spend struct {
@@ -112,6 +114,7 @@
 	wakeAt    time.Duration
 	seq       uint64
 	taken     []time.Duration // of requests, within the budget's span
+	lost      float64
 	extra     []time.Duration // of further attempts
 	calls     int             // failed calls to discovery in a row
 	dirty     []*node
