--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,7 +43,7 @@
 	// What an answer is expected to take: the uncrowded time of a unit is a low
 	// quantile of what units took, the rest is delay. A late sample fades.
 	delayGain              = 0.25
-	delayHalf              = time.Second
+	delayHalf              = 3.0 // tightest aims
 	baseQuantile, baseGain = 0.3, 0.1
 
 	lostGain = 1.0 / 32
@@ -269,7 +269,7 @@
 // of the oldest one out counts too: silence, of whatever cause, shows there
 // before any outcome.
 func (d *Dispatcher) delay(n *node) time.Duration {
-	l := n.lat * math.Exp2(-float64(d.now-n.latAt)/float64(delayHalf))
+	l := n.lat * math.Exp2(-float64(d.now-n.latAt)/(delayHalf*float64(d.tightest)))
 	for len(n.outs) > 0 && !(n.outs[0].out && n.outs[0].node == n) {
 		n.outs = n.outs[1:]
 	}
