--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,9 +36,10 @@
 	roomReserve, roomBeyond, roomLate = 0.8, 0.3, 0.1
 	afterMin                          = 50 * time.Millisecond // shortest advice to stay away
 
-	// Cold nodes: part of the rule's multiple that served units may prove. At a half,
-	// a search found a node pushed over by work larger than its units.
-	proofShare = 1.0 / 3
+	// Cold nodes: the part of the rule's bound that is used, and over what span a shard's
+	// usual service is averaged.
+	coldSafe  = 0.5
+	usualSpan = 30 * time.Second
 
 	// What an answer is expected to take: the uncrowded time of a unit is a low
 	// quantile of what units took, the rest is delay. A late sample fades.
@@ -65,7 +66,7 @@
 		return nil, fmt.Errorf("choice: %w", err)
 	}
 	d := &Dispatcher{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)),
-		nodes: map[NodeID]*node{}, shards: map[Shard]*node{}, vols: map[VolumeID]*volume{},
+		nodes: map[NodeID]*node{}, shards: map[Shard]*node{}, usages: map[Shard]*usage{}, vols: map[VolumeID]*volume{},
 		reqs: map[RequestID]*request{}, turns: map[string]*turn{},
 		maxLeft: make([]time.Duration, len(cfg.Classes)), tightest: cfg.Classes[0].Aim}
 	for _, c := range cfg.Classes {
@@ -332,7 +333,7 @@
 		d.refuse(r, d.cfg.MaxRetryAfter)
 		return
 	}
-	cold := max(0, d.coldAt(n, n.heldSum+r.Units)-d.now)
+	cold := max(0, d.coldAt(n, n.heldSum)-d.now)
 	need = max(need, max(lim, cold)+delay)
 	// Calm: at a node whose delays do not last, such as pauses, a long aim may wait longer.
 	calm := max(0, 1-n.slow/(crowded*d.tightest.Seconds()))
@@ -396,9 +397,8 @@
 		n.done = n.done*decay(d.now-n.doneAt, rateSpan) + 1
 		n.doneAt = d.now
 		n.heard(d.now, r.Units, e.Took.Seconds())
-		if d.cfg.Cold.YoungLimit > 0 && n.Started != 0 {
-			n.proof = append(n.proof, spend{d.now, r.Units})
-		}
+		n.use.sum = n.use.sum*decay(d.now-n.use.at, usualSpan) + r.Units
+		n.use.at = d.now
 	case Full, TimedOut, ConnectFailed, Dropped:
 		n.bad++
 		if e.Status == TimedOut {
@@ -445,7 +445,7 @@
 	if n.until > d.now {
 		return n.until, ofNode
 	}
-	if at := d.coldAt(n, r.Units); at > d.now {
+	if at := d.coldAt(n, 0); at > d.now {
 		return at, ofNode
 	}
 	if w, no := d.limitWait(r); no {
@@ -535,52 +535,36 @@
 	v.tokensAt = d.now
 }
 
-// coldAt tells from when on a just-started node bears so many units more from
-// this dispatcher: its even part of what is always borne, grown with age as
-// slowly as capacity may. What it served for us within the span is proof of
-// capacity: a third of the multiple of that is safe beside half of all even parts,
-// with room for work that turns out larger than its units said.
-func (d *Dispatcher) coldAt(n *node, units float64) time.Duration {
+// coldAt tells from when on a just-started node may be sent a request of this dispatcher
+// behind so many held units. The rule binds the sum over all: what a shard served each of
+// them adds up to no more than its full capacity, so each may send that rate times the
+// share of capacity that the node has for sure by its age, and times the rule's multiple;
+// half, as the machine may be slower than its predecessor. Half of the even part of what is
+// always borne comes on top, for who has no history. Units enter whole and are paid off
+// after; a first debt of random size keeps many from entering their first at once.
+func (d *Dispatcher) coldAt(n *node, ahead float64) time.Duration {
 	c := d.cfg.Cold
 	age := d.now - n.Started
 	if c.YoungLimit <= 0 || n.Started == 0 || age >= c.WarmUp+c.Span {
-		n.spent, n.proof = nil, nil
 		return 0
 	}
-	for len(n.spent) > 0 && d.now-n.spent[0].at > c.Span+d.cfg.Round {
-		n.spent = n.spent[1:]
-	}
-	if born := d.born + c.Span; d.now < born && n.Started <= d.born {
-		return born // an earlier life may have spent this window
-	}
-	left := d.coldPart(age)
-	for len(n.proof) > 0 && d.now-n.proof[0].at >= c.Span {
-		n.proof = n.proof[1:]
-	}
-	proven := left / 2
-	for _, s := range n.proof {
-		proven += s.units * c.Multiple * proofShare
-	}
-	left = max(left, proven)
-	for _, s := range n.spent {
-		left -= s.units
+	grown := c.From + (1-c.From)*min(1, max(0, (age-c.Span).Seconds())/max(c.WarmUp.Seconds(), 1e-9))
+	rate := coldSafe * grown * (c.YoungLimit/c.From/c.Span.Seconds()/float64(d.cfg.Peers) + c.Multiple*d.usual(n))
+	if from := max(n.Started, d.born); n.debtAt < from { // an earlier life's debt is unknown
+		n.debt, n.debtAt = d.rng.Float64()*d.cfg.LargestUnits, from
 	}
-	if units <= left {
+	n.debt = max(0, n.debt-rate*(d.now-n.debtAt).Seconds())
+	n.debtAt = d.now
+	if n.debt+ahead <= 0 {
 		return 0
 	}
-	for _, s := range n.spent { // when enough of the window has passed
-		left += s.units
-		if units <= left {
-			return s.at + c.Span + d.cfg.Round + time.Microsecond
-		}
-	}
-	return d.now + c.Span // only age helps; look again
+	return d.now + time.Duration(min((n.debt+ahead)/rate, c.WarmUp.Seconds())*float64(time.Second)) + time.Microsecond
 }
 
-func (d *Dispatcher) coldPart(age time.Duration) float64 {
-	c := d.cfg.Cold
-	grown := c.From + (1-c.From)*min(1, max(0, (age-c.Span).Seconds())/max(c.WarmUp.Seconds(), 1e-9))
-	return c.YoungLimit * grown / c.From / float64(d.cfg.Peers)
+// usual is what n's shard served for this dispatcher, units a second over a while.
+func (d *Dispatcher) usual(n *node) float64 {
+	return n.use.sum * decay(d.now-n.use.at, usualSpan) / usualSpan.Seconds() /
+		max(1-decay(d.now-d.born, usualSpan), 0.1)
 }
 
 // send makes an attempt of r at n. Every rule has been asked in allowed.
@@ -593,9 +577,7 @@
 		r.vol.tokens -= r.Units
 		r.vol.takeReserve(d, r.Units)
 	}
-	if d.cfg.Cold.YoungLimit > 0 && n.Started != 0 {
-		n.spent = append(n.spent, spend{d.now, r.Units})
-	}
+	n.debt += r.Units
 	r.state, r.out, r.node, r.sentAt = sent, true, n, d.now
 	r.attempts++
 	n.out++
@@ -752,7 +734,7 @@
 		}
 		each := max((d.delay(n) + n.service(r.Units)).Seconds(), 1e-3)
 		cost := each * (1 + float64(n.out+n.held)/float64(d.depth(n)))
-		if at := d.coldAt(n, r.Units); at > d.now {
+		if at := d.coldAt(n, 0); at > d.now {
 			cost += max((at - d.now).Seconds(), d.cfg.Cold.Span.Seconds())
 		}
 		if cost *= 1 + 0.1*d.rng.Float64(); cost < bestCost {
@@ -858,6 +840,7 @@
 			n.lat, n.slow, n.base, n.done, n.bad, n.until = 0, 0, 0, 0, 0, 0
 		}
 		n.Node, n.listed = l, true
+		n.use = d.usageOf(l.Shard)
 	}
 	slices.SortFunc(d.order, func(a, b *node) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	clear(d.shards)
--- a/choice/state.go
+++ b/choice/state.go
@@ -78,13 +78,15 @@
 	bad      int           // bad ends in a row
 	until    time.Duration // no sends before, when suspect
 	wake     time.Duration
-	spent    []spend // units sent within the last cold span
-	proof    []spend // units served within the last cold span
+	debt     float64 // units sent to a cold node and not paid off
+	debtAt   time.Duration
+	use      *usage
 }
 
-type spend struct {
-	at    time.Duration
-	units float64
+// usage is a decayed sum of units that a shard served; it outlives the shard's nodes.
+type usage struct {
+	sum float64
+	at  time.Duration
 }
 
 // turn is the line of one key in classes that keep order.
@@ -105,6 +107,7 @@
 	nodes     map[NodeID]*node
 	order     []*node // sorted by ID
 	shards    map[Shard]*node
+	usages    map[Shard]*usage
 	vols      map[VolumeID]*volume
 	volOrder  []*volume
 	reqs      map[RequestID]*request
@@ -213,6 +216,13 @@
 	return f
 }
 
+func (d *Dispatcher) usageOf(s Shard) *usage {
+	if d.usages[s] == nil {
+		d.usages[s] = &usage{}
+	}
+	return d.usages[s]
+}
+
 func decay(dt, span time.Duration) float64 { return math.Exp(-dt.Seconds() / span.Seconds()) }
 
 func (d *Dispatcher) at(when time.Duration, t *task) {
