--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,7 +10,6 @@
 
 import (
 	"container/heap"
-	"encoding/binary"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -52,8 +51,6 @@
 	lossy    = 0.08 // share of answers lost from which attempts are given up early
 	patient  = 1.5  // times its uncrowded time that an attempt may take before it counts as lost
 
-	tellVersion = 1 // of the messages between dispatchers
-
 	// Health: so many bad ends in a row, no answer between, make a node suspect.
 	suspectAfter     = 3
 	backoffMin       = 100 * time.Millisecond
@@ -101,8 +98,6 @@
 		d.onOutcome(e)
 	case Gone:
 		d.onGone(e)
-	case PeerMessage:
-		d.onPeer(e)
 	case Fired:
 		if d.now >= d.wakeAt {
 			d.wakeAt = math.MaxInt64
@@ -301,39 +296,12 @@
 	} else {
 		n.base *= 1 + baseGain*baseQuantile
 	}
-	n.delayed(now, max(0, took-n.base*units))
-}
-
-// delayed takes a delay seen at n, by this dispatcher or by another.
-func (n *node) delayed(now time.Duration, over float64) {
+	over := max(0, took-n.base*units)
 	n.slow += (1 - decay(now-n.latAt, rateSpan)) * (over - n.slow)
 	n.lat += delayGain * (over - n.lat)
 	n.latAt = now
 }
 
-// tell lets the others know of a delay at n that is news to this dispatcher, and so to
-// most of them: each sees a node too seldom to notice in time that all together flood it,
-// or that it is free again. What is told is believed by all, so that few need to tell it.
-func (d *Dispatcher) tell(n *node, over float64) {
-	if news := crowded * d.tightest.Seconds(); d.cfg.PeerMessages && over-n.lat > news && d.cfg.Peers > 1 {
-		ms := uint16(min(over*1e3, math.MaxUint16))
-		data := binary.BigEndian.AppendUint16([]byte{tellVersion}, uint16(n.Shard))
-		d.act(Tell{To: -1, Data: binary.BigEndian.AppendUint16(data, ms)})
-	}
-}
-
-// onPeer takes another dispatcher's word on a delay. A message lost, late or malformed
-// leaves the own evidence, which fades all the same.
-func (d *Dispatcher) onPeer(e PeerMessage) {
-	if len(e.Data) != 5 || e.Data[0] != tellVersion || e.From == d.cfg.Me || e.From < 0 || e.From >= d.cfg.Peers {
-		return
-	}
-	if n := d.shards[Shard(binary.BigEndian.Uint16(e.Data[1:]))]; n != nil {
-		n.delayed(d.now, float64(binary.BigEndian.Uint16(e.Data[3:]))/1e3)
-		d.touch(n)
-	}
-}
-
 // wait estimates how long r would be held at n: those ahead of it by the start
 // tags, each taking a D-th of the latency (Little's law).
 func (d *Dispatcher) wait(r *request, n *node) time.Duration {
@@ -428,7 +396,6 @@
 		n.bad, n.until = 0, 0
 		n.done = n.done*decay(d.now-n.doneAt, rateSpan) + 1
 		n.doneAt = d.now
-		d.tell(n, max(0, e.Took.Seconds()-n.base*r.Units))
 		n.heard(d.now, r.Units, e.Took.Seconds())
 		n.use.sum = n.use.sum*decay(d.now-n.use.at, usualSpan) + r.Units
 		n.use.at = d.now
