--- a/choice/choice.go
+++ b/choice/choice.go
@@ -255,7 +255,8 @@
 		return 1
 	}
 	rate := n.done * decay(d.now-n.doneAt, rateSpan) / rateSpan.Seconds()
-	deep := min(max(depthMin, math.Ceil(rate*d.tightest.Seconds())), depthMax)
+	floor := min(depthMin, max(1, depthMax/d.cfg.Peers)) // four each from many would flood it
+	deep := min(max(float64(floor), math.Ceil(rate*d.tightest.Seconds())), depthMax)
 	// Crowding: four for each of many dispatchers may be more than the node
 	// serves within the tightest aim. The delay tells, whoever fills it.
 	if l, most := d.delay(n).Seconds(), crowded*d.tightest.Seconds(); l > most {
@@ -592,7 +593,10 @@
 func (d *Dispatcher) patience(r *request, n *node) time.Duration {
 	usual := d.delay(n) + n.service(patient*r.Units)
 	until := r.aimAt - usual
-	if d.lost < lossy || n.base == 0 || until < d.now+usual || r.class.Effect == Unsafe || n.bad >= suspectAfter {
+	if d.lost >= lossy && until < d.now+usual {
+		return r.aimAt
+	}
+	if d.lost < lossy || n.base == 0 || r.class.Effect == Unsafe || n.bad >= suspectAfter {
 		return 0
 	}
 	return until
