--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,7 +47,7 @@
 	delayHalf              = 3.0 // tightest aims
 	baseQuantile, baseGain = 0.3, 0.1
 
-	lostGain = 1.0 / 32
+	lostGain = 1.0 / 8
 	lossy    = 0.08 // share of answers lost from which attempts are given up early
 	patient  = 1.5  // times its uncrowded time that an attempt may take before it counts as lost
 
@@ -256,6 +256,9 @@
 	}
 	rate := n.done * decay(d.now-n.doneAt, rateSpan) / rateSpan.Seconds()
 	floor := min(depthMin, max(1, depthMax/d.cfg.Peers)) // four each from many would flood it
+	if d.lost >= lossy {
+		floor = depthMin // an attempt whose answer is lost holds a place that the node has free
+	}
 	deep := min(max(float64(floor), math.Ceil(rate*d.tightest.Seconds())), depthMax)
 	// Crowding: four for each of many dispatchers may be more than the node
 	// serves within the tightest aim. The delay tells, whoever fills it.
@@ -276,7 +279,7 @@
 		n.outs = n.outs[1:]
 	}
 	e := time.Duration(l * float64(time.Second))
-	if len(n.outs) > 0 && (d.lost < lossy || n.bad > 0) {
+	if len(n.outs) > 0 && (d.lost < lossy || n.bad > 1) {
 		e = max(e, d.now-n.outs[0].sentAt-n.service(n.outs[0].Units))
 	}
 	return e
