--- a/choice/choice.go
+++ b/choice/choice.go
@@ -301,7 +301,6 @@
 		n.base *= 1 + baseGain*baseQuantile
 	}
 	over := max(0, took-n.base*units)
-	n.slow += (1 - decay(now-n.latAt, rateSpan)) * (over - n.slow)
 	n.lat += delayGain * (over - n.lat)
 	n.latAt = now
 }
@@ -339,11 +338,7 @@
 	}
 	cold := max(0, d.coldAt(n, n.heldSum)-d.now)
 	need = max(need, max(lim, cold)+delay)
-	// Calm: at a node whose delays do not last, such as pauses, a long aim may wait longer.
-	calm := max(0, 1-n.slow/(crowded*d.tightest.Seconds()))
-	base := float64(d.tightest)
-	base += calm * (math.Sqrt(base*float64(r.class.Aim)) - base)
-	room := time.Duration(base * d.room(r))
+	room := time.Duration(float64(d.tightest) * d.room(r))
 	room = min(room, r.aimAt-d.now-own)
 	idle := d.idle(n) && d.now >= n.until && lim == 0 && cold == 0
 	if need > room && !idle {
@@ -844,7 +839,7 @@
 			d.order = append(d.order, n)
 		}
 		if n.Started != l.Started { // a new process: the old one's past says nothing
-			n.lat, n.slow, n.base, n.done, n.bad, n.until = 0, 0, 0, 0, 0, 0
+			n.lat, n.base, n.done, n.bad, n.until = 0, 0, 0, 0, 0
 		}
 		n.Node, n.listed = l, true
 		n.use = d.usageOf(l.Shard)
