--- a/choice/choice.go
+++ b/choice/choice.go
@@ -352,7 +352,7 @@
 // out from here says little where many others send: so all dispatchers together send
 // the node no more than one such request in the time that it needs for one.
 func (d *Dispatcher) idle(n *node) bool {
-	gap := time.Duration(d.cfg.Peers-1) * n.service(max(d.cfg.UsualUnits, 1))
+	gap := time.Duration(max(0, d.cfg.Peers-depthMax/depthMin)) * n.service(max(d.cfg.UsualUnits, 1)) 
 	return n.out == 0 && n.held <= 1 && d.now-n.sentAt >= gap
 }
 
