--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,8 +66,8 @@
 		return nil, fmt.Errorf("choice: %w", err)
 	}
 	d := &Dispatcher{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)),
-		nodes: map[NodeID]*node{}, shards: map[Shard]*node{}, usages: map[Shard]*usage{}, vols: map[VolumeID]*volume{},
-		reqs: map[RequestID]*request{}, turns: map[string]*turn{},
+		nodes: map[NodeID]*node{}, shards: map[Shard]*node{}, usages: map[Shard]*meter{},
+		vols: map[VolumeID]*volume{}, reqs: map[RequestID]*request{}, turns: map[string]*turn{},
 		maxLeft: make([]time.Duration, len(cfg.Classes)), tightest: cfg.Classes[0].Aim}
 	for _, c := range cfg.Classes {
 		d.tightest = min(d.tightest, c.Aim)
@@ -150,6 +150,9 @@
 		f.units = 0
 		n.phiSum -= r.vol.phi
 	}
+	if n.held == 0 { // rounding must not add up
+		n.phiSum, n.heldSum = 0, 0
+	}
 	f.settle()
 }
 
@@ -175,13 +178,6 @@
 	}
 }
 
-// pass records in the tags that r leaves for its node.
-func (f *flow) pass(r *request) {
-	f.lastS, f.lastC = f.start, r.Units
-	f.lastF = f.lastS + f.lastC/f.vol.phi
-	f.node.v = max(f.node.v, f.lastS)
-}
-
 // reweigh changes a volume's weight and retags what it holds: the finish tag of
 // the last request sent is recomputed from its start tag, held ones follow it.
 func (v *volume) reweigh(phi float64) {
@@ -201,6 +197,18 @@
 	}
 }
 
+// pass records in the tags that r leaves for its node.
+func (f *flow) pass(r *request) {
+	f.lastS, f.lastC, f.lastF = f.start, r.Units, f.start+r.Units/f.vol.phi
+	f.node.v = max(f.node.v, f.lastS)
+}
+
+// Less is the order of release: the lowest start tag, then the first taken.
+func (h flowHeap) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	return a.start < b.start || a.start == b.start && a.line[0].seq < b.line[0].seq
+}
+
 // pump releases what may leave for n, lowest start tag first.
 func (d *Dispatcher) pump(n *node) {
 	for n.out < d.depth(n) && len(n.flows) > 0 {
@@ -254,12 +262,11 @@
 	if d.now < n.until || n.bad >= suspectAfter {
 		return 1
 	}
-	rate := n.done * decay(d.now-n.doneAt, rateSpan) / rateSpan.Seconds()
-	floor := min(depthMin, max(1, depthMax/d.cfg.Peers)) // four each from many would flood it
-	if d.lost >= lossy {
-		floor = depthMin // an attempt whose answer is lost holds a place that the node has free
+	floor := depthMin
+	if d.lost < lossy { // else what is out may hold a place that the node has free
+		floor = min(depthMin, max(1, depthMax/d.cfg.Peers)) // four each from many flood it
 	}
-	deep := min(max(float64(floor), math.Ceil(rate*d.tightest.Seconds())), depthMax)
+	deep := min(max(float64(floor), math.Ceil(n.done.rate(d.now, rateSpan)*d.tightest.Seconds())), depthMax)
 	// Crowding: four for each of many dispatchers may be more than the node
 	// serves within the tightest aim. The delay tells, whoever fills it.
 	if l, most := d.delay(n).Seconds(), crowded*d.tightest.Seconds(); l > most {
@@ -278,7 +285,7 @@
 	for len(n.outs) > 0 && !(n.outs[0].out && n.outs[0].node == n) {
 		n.outs = n.outs[1:]
 	}
-	e := time.Duration(l * float64(time.Second))
+	e := seconds(l)
 	if len(n.outs) > 0 && (d.lost < lossy || n.bad > 1) {
 		e = max(e, d.now-n.outs[0].sentAt-n.service(n.outs[0].Units))
 	}
@@ -287,7 +294,7 @@
 
 // service is what so many units take at n when it is not crowded.
 func (n *node) service(units float64) time.Duration {
-	return time.Duration(n.base * units * float64(time.Second))
+	return seconds(n.base * units)
 }
 
 // heard learns from a served answer: the uncrowded time of a unit is a low
@@ -312,13 +319,11 @@
 	if n.out < depth && n.held == 0 {
 		return 0
 	}
-	own, phi := 0.0, n.phiSum
-	if f := d.flowOf(r.vol, n); f.live > 0 {
-		own = f.units
-	} else {
+	f, phi := d.flowOf(r.vol, n), n.phiSum
+	if f.live == 0 {
 		phi += r.vol.phi
 	}
-	ahead := min(n.heldSum, (own+r.Units)*phi/r.vol.phi)
+	ahead := min(n.heldSum, (f.units+r.Units)*phi/r.vol.phi)
 	usual := max(d.cfg.UsualUnits, 1)
 	each := d.delay(n) + n.service(usual)
 	return time.Duration(ahead / usual * float64(each) / float64(depth))
@@ -328,9 +333,7 @@
 func (d *Dispatcher) admit(r *request, n *node) {
 	delay, own := d.delay(n), n.service(r.Units)
 	need := d.wait(r, n) + delay
-	if d.now < n.until {
-		need += n.until - d.now
-	}
+	need += max(0, n.until-d.now)
 	lim, never := d.limitWait(r)
 	if never {
 		d.refuse(r, d.cfg.MaxRetryAfter)
@@ -352,7 +355,7 @@
 // out from here says little where many others send: so all dispatchers together send
 // the node no more than one such request in the time that it needs for one.
 func (d *Dispatcher) idle(n *node) bool {
-	gap := time.Duration(max(0, d.cfg.Peers-depthMax/depthMin)) * n.service(max(d.cfg.UsualUnits, 1)) 
+	gap := time.Duration(max(0, d.cfg.Peers-depthMax/depthMin)) * n.service(max(d.cfg.UsualUnits, 1))
 	return n.out == 0 && n.held <= 1 && d.now-n.sentAt >= gap
 }
 
@@ -361,10 +364,9 @@
 	v := r.vol
 	v.fillReserve(d)
 	part := roomBeyond
-	switch {
-	case r.late:
+	if r.late {
 		part = roomLate
-	case v.reserve-v.heldUnits >= 0:
+	} else if v.reserve-v.heldUnits >= 0 {
 		part = roomReserve
 	}
 	return part * (0.5 + 0.5*r.class.Worth*v.plan.Price/max(d.bestValue, 1e-9))
@@ -393,11 +395,9 @@
 	case Served:
 		d.miss(n, r, e)
 		n.bad, n.until = 0, 0
-		n.done = n.done*decay(d.now-n.doneAt, rateSpan) + 1
-		n.doneAt = d.now
+		n.done.add(d.now, 1, rateSpan)
 		n.heard(d.now, r.Units, e.Took.Seconds())
-		n.use.sum = n.use.sum*decay(d.now-n.use.at, usualSpan) + r.Units
-		n.use.at = d.now
+		n.use.add(d.now, r.Units, usualSpan)
 	case Full, TimedOut, ConnectFailed, Dropped:
 		n.bad++
 		if e.Status == TimedOut {
@@ -418,9 +418,8 @@
 func (d *Dispatcher) miss(n *node, r *request, e Outcome) {
 	d.lost *= 1 - lostGain
 	if r.sentAt > n.missedAt && (e.Took-n.service(r.Units)).Seconds() < crowded*d.tightest.Seconds() {
-		d.lost += lostGain * float64(n.missing) * (1 - d.lost)
+		d.lost += (1 - d.lost) * min(1, lostGain*float64(n.missing))
 	}
-	d.lost = min(d.lost, 1)
 	n.missing = 0
 }
 
@@ -432,10 +431,7 @@
 	if r.state == over || r.out || d.now >= r.deadline || !n.listed || n.State != Serving {
 		return d.now, never // answered, out, too late, or told that the node drains
 	}
-	if r.Shard != AnyShard && r.Shard != n.Shard {
-		return d.now, never
-	}
-	if r.attempts > 0 && !d.mayRepeat(r, n) {
+	if r.Shard != AnyShard && r.Shard != n.Shard || r.attempts > 0 && !d.mayRepeat(r, n) {
 		return d.now, never
 	}
 	if t := r.turn; t != nil && (t.line[0] != r || (d.now < t.rest && r.attempts == 0)) {
@@ -484,12 +480,8 @@
 // further attempts a round late, so that the edges cannot be counted against us.
 func (d *Dispatcher) trimBudget() {
 	b := d.cfg.Budget
-	for len(d.taken) > 0 && d.now-d.taken[0] >= b.Span-d.cfg.Round {
-		d.taken = d.taken[1:]
-	}
-	for len(d.extra) > 0 && d.now-d.extra[0] > b.Span+d.cfg.Round {
-		d.extra = d.extra[1:]
-	}
+	d.taken = after(d.taken, d.now-b.Span+d.cfg.Round)
+	d.extra = after(d.extra, d.now-b.Span-d.cfg.Round-1)
 }
 
 // mayRefuse tells whether refusing r keeps the rule on effects.
@@ -509,15 +501,11 @@
 	if r.Units > v.tokensTop() {
 		return 0, true
 	}
-	ahead := 0.0
+	short := r.Units - v.tokens
 	if r.state != held {
-		ahead = v.heldUnits
-	}
-	short := r.Units + ahead - v.tokens
-	if short <= 0 {
-		return 0, false
+		short += v.heldUnits
 	}
-	return time.Duration(math.Ceil(short/(v.plan.Limit/float64(v.hosts))*1e6)) * time.Microsecond, false
+	return time.Duration(math.Ceil(max(0, short)/(v.plan.Limit/float64(v.hosts))*1e6)) * time.Microsecond, false
 }
 
 // tokensTop is an even part of what the limit's store bears at once.
@@ -548,7 +536,8 @@
 		return 0
 	}
 	grown := c.From + (1-c.From)*min(1, max(0, (age-c.Span).Seconds())/max(c.WarmUp.Seconds(), 1e-9))
-	rate := coldSafe * grown * (c.YoungLimit/c.From/c.Span.Seconds()/float64(d.cfg.Peers) + c.Multiple*d.usual(n))
+	even := c.YoungLimit / c.From / c.Span.Seconds() / float64(d.cfg.Peers)
+	rate := coldSafe * grown * (even + c.Multiple*d.usual(n))
 	if from := max(n.Started, d.born); n.debtAt < from { // an earlier life's debt is unknown
 		n.debt, n.debtAt = d.rng.Float64()*d.cfg.LargestUnits, from
 	}
@@ -557,13 +546,12 @@
 	if n.debt+ahead <= 0 {
 		return 0
 	}
-	return d.now + time.Duration(min((n.debt+ahead)/rate, c.WarmUp.Seconds())*float64(time.Second)) + time.Microsecond
+	return d.now + seconds(min((n.debt+ahead)/rate, c.WarmUp.Seconds())) + time.Microsecond
 }
 
 // usual is what n's shard served for this dispatcher, units a second over a while.
 func (d *Dispatcher) usual(n *node) float64 {
-	return n.use.sum * decay(d.now-n.use.at, usualSpan) / usualSpan.Seconds() /
-		max(1-decay(d.now-d.born, usualSpan), 0.1)
+	return n.use.rate(d.now, usualSpan) / max(1-decay(d.now-d.born, usualSpan), 0.1)
 }
 
 // send makes an attempt of r at n. Every rule has been asked in allowed.
@@ -638,19 +626,15 @@
 	for len(t.line) > 0 && t.line[0].state == over && !t.line[0].out {
 		t.line = t.line[1:]
 	}
+	some := len(t.line) > 0
 	switch {
-	case len(t.line) == 0:
-		if d.turns[t.key] != t {
-			return
-		} else if d.now >= t.rest {
-			delete(d.turns, t.key)
-		} else {
-			d.at(t.rest, &task{kind: doTurn, turn: t})
-		}
-	case t.line[0].state == waiting && d.now < t.rest:
+	case d.turns[t.key] != t || some && t.line[0].state != waiting:
+	case d.now < t.rest:
 		d.at(t.rest, &task{kind: doTurn, turn: t})
-	case t.line[0].state == waiting:
+	case some:
 		d.place(t.line[0])
+	default:
+		delete(d.turns, t.key)
 	}
 }
 
@@ -736,9 +720,7 @@
 		}
 		each := max((d.delay(n) + n.service(r.Units)).Seconds(), 1e-3)
 		cost := each * (1 + float64(n.out+n.held)/float64(d.depth(n)))
-		if at := d.coldAt(n, 0); at > d.now {
-			cost += max((at - d.now).Seconds(), d.cfg.Cold.Span.Seconds())
-		}
+		cost += max(0, (d.coldAt(n, 0) - d.now).Seconds())
 		if cost *= 1 + 0.1*d.rng.Float64(); cost < bestCost {
 			best, bestCost = n, cost
 		}
@@ -823,9 +805,7 @@
 		d.at(d.now+time.Duration(float64(gap)*(0.5+d.rng.Float64())), &task{kind: doWatch})
 		return
 	}
-	if e.Kind != Persisted {
-		d.calls = 0
-	}
+	d.calls = 0
 	if e.Kind != Changes {
 		for _, n := range d.order {
 			n.State = Removed
@@ -839,7 +819,7 @@
 			d.order = append(d.order, n)
 		}
 		if n.Started != l.Started { // a new process: the old one's past says nothing
-			n.lat, n.base, n.done, n.bad, n.until = 0, 0, 0, 0, 0
+			n.lat, n.base, n.done, n.bad, n.until, n.missing = 0, 0, meter{}, 0, 0, 0
 		}
 		n.Node, n.listed = l, true
 		n.use = d.usageOf(l.Shard)
@@ -898,11 +878,6 @@
 		}
 		return gone
 	})
-	for _, n := range d.order {
-		if n.held == 0 { // rounding must not add up
-			n.phiSum, n.heldSum = 0, 0
-		}
-	}
 }
 
 func (d *Dispatcher) runAgenda() {
--- a/choice/random_test.go
+++ b/choice/random_test.go
@@ -37,7 +37,7 @@
 	module, truth Config
 	hideDrains    bool
 	lost          float64 // share of answers that never come
-	hosts         int // of each volume
+	hosts         int     // of each volume
 	now           time.Duration
 	q             queueOf
 	seq           int
--- a/choice/state.go
+++ b/choice/state.go
@@ -66,29 +66,38 @@
 	phiSum   float64 // of flows that hold requests
 	out      int
 	outs     []*request
-	missing  int
-	missedAt time.Duration
+	missing  int           // time-outs since an answer
+	missedAt time.Duration // send of the last of them
 	sentAt   time.Duration
-	done     float64 // decayed count of served answers
-	doneAt   time.Duration
+	done     meter   // served answers
 	lat      float64 // expected delay, seconds
 	latAt    time.Duration
-	slow     float64       // the same over seconds
 	base     float64       // uncrowded seconds of a unit
 	bad      int           // bad ends in a row
 	until    time.Duration // no sends before, when suspect
 	wake     time.Duration
 	debt     float64 // units sent to a cold node and not paid off
 	debtAt   time.Duration
-	use      *usage
+	use      *meter // units that its shard served; outlives the shard's nodes
 }
 
-// usage is a decayed sum of units that a shard served; it outlives the shard's nodes.
-type usage struct {
+// meter is a sum that decays with time.
+type meter struct {
 	sum float64
 	at  time.Duration
 }
 
+func (m *meter) add(now time.Duration, x float64, span time.Duration) {
+	m.sum = m.sum*decay(now-m.at, span) + x
+	m.at = now
+}
+
+func (m *meter) rate(now, span time.Duration) float64 {
+	return m.sum * decay(now-m.at, span) / span.Seconds()
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // turn is the line of one key in classes that keep order.
 type turn struct {
 	key  string
@@ -107,7 +116,7 @@
 	nodes     map[NodeID]*node
 	order     []*node // sorted by ID
 	shards    map[Shard]*node
-	usages    map[Shard]*usage
+	usages    map[Shard]*meter
 	vols      map[VolumeID]*volume
 	volOrder  []*volume
 	reqs      map[RequestID]*request
@@ -143,13 +152,7 @@
 
 type flowHeap []*flow
 
-func (h flowHeap) Len() int { return len(h) }
-func (h flowHeap) Less(i, j int) bool {
-	if h[i].start != h[j].start {
-		return h[i].start < h[j].start
-	}
-	return h[i].line[0].seq < h[j].line[0].seq
-}
+func (h flowHeap) Len() int      { return len(h) }
 func (h flowHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].pos = i; h[j].pos = j }
 func (h *flowHeap) Push(x any)   { f := x.(*flow); f.pos = len(*h); *h = append(*h, f) }
 func (h *flowHeap) Pop() any {
@@ -216,9 +219,9 @@
 	return f
 }
 
-func (d *Dispatcher) usageOf(s Shard) *usage {
+func (d *Dispatcher) usageOf(s Shard) *meter {
 	if d.usages[s] == nil {
-		d.usages[s] = &usage{}
+		d.usages[s] = &meter{}
 	}
 	return d.usages[s]
 }
@@ -231,6 +234,14 @@
 	heap.Push(&d.agenda, t)
 }
 
+// after drops the times before t.
+func after(ts []time.Duration, t time.Duration) []time.Duration {
+	for len(ts) > 0 && ts[0] <= t {
+		ts = ts[1:]
+	}
+	return ts
+}
+
 func (d *Dispatcher) arm() {
 	if len(d.agenda) > 0 && d.agenda[0].at < d.wakeAt {
 		d.wakeAt = d.agenda[0].at
