--- a/choice/choice.go
+++ b/choice/choice.go
@@ -264,7 +264,7 @@
 	}
 	floor := depthMin
 	if d.lost < lossy { // else what is out may hold a place that the node has free
-		floor = min(depthMin, max(1, depthMax/d.cfg.Peers)) // four each from many flood it
+		floor = min(depthMin, max(1, depthMax/d.cfg.Peers)+n.easy/2) // four each from many flood it
 	}
 	deep := min(max(float64(floor), math.Ceil(n.done.rate(d.now, rateSpan)*d.tightest.Seconds())), depthMax)
 	// Crowding: four for each of many dispatchers may be more than the node
@@ -299,7 +299,7 @@
 
 // heard learns from a served answer: the uncrowded time of a unit is a low
 // quantile of what units took, and what an answer took beyond it is the delay.
-func (n *node) heard(now time.Duration, units, took float64) {
+func (n *node) heard(now time.Duration, units, took, tightest float64) {
 	if unit := took / max(units, 1); n.base == 0 {
 		n.base, n.lat = unit, 0
 	} else if unit < n.base {
@@ -310,6 +310,10 @@
 	over := max(0, took-n.base*units)
 	n.lat += delayGain * (over - n.lat)
 	n.latAt = now
+	n.easy++
+	if over > crowded*tightest {
+		n.easy = 0
+	}
 }
 
 // wait estimates how long r would be held at n: those ahead of it by the start
@@ -331,17 +335,21 @@
 
 // admit holds r at n, or refuses it at once when it cannot be answered in time.
 func (d *Dispatcher) admit(r *request, n *node) {
+	delay, own := d.delay(n), n.service(r.Units)
+	need := d.wait(r, n) + delay
+	need += max(0, n.until-d.now)
 	lim, never := d.limitWait(r)
 	if never {
 		d.refuse(r, d.cfg.MaxRetryAfter)
 		return
 	}
-	delay, part, left := d.delay(n), d.room(r), r.aimAt-d.now-n.service(r.Units)
 	cold := max(0, d.coldAt(n, n.heldSum)-d.now)
-	need := delay + max(d.wait(r, n)+max(0, n.until-d.now), lim, cold)
-	over := max(delay-time.Duration(part*float64(d.tightest)), need-min(left, time.Duration(part*float64(r.class.Aim))))
-	if over > 0 && !(d.idle(n) && d.now >= n.until && lim == 0 && cold == 0) {
-		d.refuse(r, over)
+	need = max(need, max(lim, cold)+delay)
+	room := time.Duration(float64(d.tightest) * d.room(r))
+	room = min(room, r.aimAt-d.now-own)
+	idle := d.idle(n) && d.now >= n.until && lim == 0 && cold == 0
+	if need > room && !idle {
+		d.refuse(r, need-room)
 		return
 	}
 	d.enqueue(r, n, false)
@@ -392,10 +400,11 @@
 		d.miss(n, r, e)
 		n.bad, n.until = 0, 0
 		n.done.add(d.now, 1, rateSpan)
-		n.heard(d.now, r.Units, e.Took.Seconds())
+		n.heard(d.now, r.Units, e.Took.Seconds(), d.tightest.Seconds())
 		n.use.add(d.now, r.Units, usualSpan)
 	case Full, TimedOut, ConnectFailed, Dropped:
 		n.bad++
+		n.easy = 0
 		if e.Status == TimedOut {
 			n.missing++
 			n.missedAt = max(n.missedAt, r.sentAt)
--- a/choice/state.go
+++ b/choice/state.go
@@ -67,6 +67,7 @@
 	out      int
 	outs     []*request
 	missing  int           // time-outs since an answer
+	easy     int           // answers in a row without crowding
 	missedAt time.Duration // send of the last of them
 	sentAt   time.Duration
 	done     meter   // served answers
