--- a/choice/choice.go
+++ b/choice/choice.go
@@ -335,21 +335,18 @@
 
 // admit holds r at n, or refuses it at once when it cannot be answered in time.
 func (d *Dispatcher) admit(r *request, n *node) {
-	delay, own := d.delay(n), n.service(r.Units)
-	need := d.wait(r, n) + delay
-	need += max(0, n.until-d.now)
 	lim, never := d.limitWait(r)
 	if never {
 		d.refuse(r, d.cfg.MaxRetryAfter)
 		return
 	}
+	delay, part, left := d.delay(n), d.room(r), r.aimAt-d.now-n.service(r.Units)
 	cold := max(0, d.coldAt(n, n.heldSum)-d.now)
-	need = max(need, max(lim, cold)+delay)
-	room := time.Duration(float64(d.tightest) * d.room(r))
-	room = min(room, r.aimAt-d.now-own)
-	idle := d.idle(n) && d.now >= n.until && lim == 0 && cold == 0
-	if need > room && !idle {
-		d.refuse(r, need-room)
+	wait := d.wait(r, n) + delay
+	need := max(delay+max(0, n.until-d.now), max(lim, cold)+delay)
+	over := max(need-min(left, time.Duration(part*float64(d.tightest))), wait-min(left, time.Duration(part*float64(r.class.Aim))))
+	if over > 0 && !(d.idle(n) && d.now >= n.until && lim == 0 && cold == 0) {
+		d.refuse(r, over)
 		return
 	}
 	d.enqueue(r, n, false)
