--- a/choice/choice.go
+++ b/choice/choice.go
@@ -299,7 +299,7 @@
 
 // heard learns from a served answer: the uncrowded time of a unit is a low
 // quantile of what units took, and what an answer took beyond it is the delay.
-func (n *node) heard(now time.Duration, units, took, tightest float64) {
+func (n *node) heard(now time.Duration, units, took, tightest, most float64) {
 	if unit := took / max(units, 1); n.base == 0 {
 		n.base, n.lat = unit, 0
 	} else if unit < n.base {
@@ -308,6 +308,7 @@
 		n.base *= 1 + baseGain*baseQuantile
 	}
 	over := max(0, took-n.base*units)
+	over = min(over, most)
 	n.lat += delayGain * (over - n.lat)
 	n.latAt = now
 	n.easy++
@@ -335,18 +336,21 @@
 
 // admit holds r at n, or refuses it at once when it cannot be answered in time.
 func (d *Dispatcher) admit(r *request, n *node) {
+	delay, own := d.delay(n), n.service(r.Units)
+	need := d.wait(r, n) + delay
+	need += max(0, n.until-d.now)
 	lim, never := d.limitWait(r)
 	if never {
 		d.refuse(r, d.cfg.MaxRetryAfter)
 		return
 	}
-	delay, part, left := d.delay(n), d.room(r), r.aimAt-d.now-n.service(r.Units)
 	cold := max(0, d.coldAt(n, n.heldSum)-d.now)
-	wait := d.wait(r, n) + delay
-	need := max(delay+max(0, n.until-d.now), max(lim, cold)+delay)
-	over := max(need-min(left, time.Duration(part*float64(d.tightest))), wait-min(left, time.Duration(part*float64(r.class.Aim))))
-	if over > 0 && !(d.idle(n) && d.now >= n.until && lim == 0 && cold == 0) {
-		d.refuse(r, over)
+	need = max(need, max(lim, cold)+delay)
+	room := time.Duration(float64(d.tightest) * d.room(r))
+	room = min(room, r.aimAt-d.now-own)
+	idle := d.idle(n) && d.now >= n.until && lim == 0 && cold == 0
+	if need > room && !idle {
+		d.refuse(r, need-room)
 		return
 	}
 	d.enqueue(r, n, false)
@@ -397,7 +401,11 @@
 		d.miss(n, r, e)
 		n.bad, n.until = 0, 0
 		n.done.add(d.now, 1, rateSpan)
-		n.heard(d.now, r.Units, e.Took.Seconds(), d.tightest.Seconds())
+		most := math.Inf(1)
+		if x, ok := e.Report["rif"]; ok && x >= 0 {
+			most = x * n.service(max(d.cfg.UsualUnits, 1)).Seconds()
+		}
+		n.heard(d.now, r.Units, e.Took.Seconds(), d.tightest.Seconds(), most)
 		n.use.add(d.now, r.Units, usualSpan)
 	case Full, TimedOut, ConnectFailed, Dropped:
 		n.bad++
