--- a/choice/api.go
+++ b/choice/api.go
@@ -179,7 +179,8 @@
 	Moot // not sent
 )
 
-// Report is a node's late and noisy account of its load, by field name.
+// Report is a node's late and noisy account of its load: inflight (requests in hand) is
+// used where it is there; other fields are ignored.
 type Report map[string]float64
 
 // Outcome is the end of one attempt.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -359,6 +359,10 @@
 	return v
 }
 
+// loads are this wire's words for the values of a load report; others stay as they are.
+var loads = map[string]string{"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms",
+	"rate": "qps", "fail_rate": "eps"}
+
 func (f *fields) report() choice.Report {
 	if !f.more {
 		return nil
@@ -375,6 +379,9 @@
 			f.bad("report", "name:number pairs", s)
 			return nil
 		}
+		if name, ok := loads[k]; ok {
+			k = name
+		}
 		r[k] = x
 	}
 	return r
