--- a/choice/choice.go
+++ b/choice/choice.go
@@ -550,7 +550,7 @@
 	even := c.YoungLimit / c.From / c.Span.Seconds() / float64(d.cfg.Peers)
 	rate := coldSafe * grown * (even + c.Multiple*d.usual(n))
 	if from := max(n.Started, d.born); n.debtAt < from { // an earlier life's debt is unknown
-		n.debt, n.debtAt = d.rng.Float64()*d.cfg.LargestUnits, from
+		n.debt, n.debtAt = d.rng.Float64()*max(d.cfg.UsualUnits, 1), from
 	}
 	n.debt = max(0, n.debt-rate*(d.now-n.debtAt).Seconds())
 	n.debtAt = d.now
