--- a/choice/choice.go
+++ b/choice/choice.go
@@ -9,7 +9,6 @@
 package choice
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -67,7 +66,7 @@
 		return nil, fmt.Errorf("choice: %w", err)
 	}
 	d := &Dispatcher{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)),
-		nodes: map[NodeID]*node{}, shards: map[Shard]*node{}, usages: map[Shard]*meter{}, kinds: map[int]*float64{},
+		nodes: map[NodeID]*node{}, shards: map[Shard]*node{}, usages: map[Shard]*meter{},
 		vols: map[VolumeID]*volume{}, reqs: map[RequestID]*request{}, turns: map[string]*turn{},
 		maxLeft: make([]time.Duration, len(cfg.Classes)), tightest: cfg.Classes[0].Aim}
 	for _, c := range cfg.Classes {
@@ -295,7 +294,7 @@
 
 // service is what so many units take at n when it is not crowded.
 func (n *node) service(units float64) time.Duration {
-	return seconds(cmp.Or(n.base, *n.kind) * units)
+	return seconds(n.base * units)
 }
 
 // heard learns from a served answer of r: the uncrowded time of a unit is a low quantile
@@ -304,14 +303,12 @@
 // a time as D's floor, bound the delay from both sides. Without a report it stands alone.
 func (d *Dispatcher) heard(n *node, r *request, e Outcome) {
 	took := e.Took.Seconds()
-	for _, b := range []*float64{n.kind, &n.base} {
-		if unit := took / max(r.Units, 1); *b == 0 {
-			*b = cmp.Or(*n.kind, unit)
-		} else if unit < *b {
-			*b *= 1 - baseGain*(1-baseQuantile)
-		} else {
-			*b *= 1 + baseGain*baseQuantile
-		}
+	if unit := took / max(r.Units, 1); n.base == 0 {
+		n.base, n.lat = unit, 0
+	} else if unit < n.base {
+		n.base *= 1 - baseGain*(1-baseQuantile)
+	} else {
+		n.base *= 1 + baseGain*baseQuantile
 	}
 	over := max(0, took-n.base*r.Units)
 	if x, told := e.Report["inflight"]; told && x >= 0 && !math.IsInf(x, 1) {
@@ -831,7 +828,7 @@
 			n.lat, n.base, n.done, n.bad, n.until, n.missing = 0, 0, meter{}, 0, 0, 0
 		}
 		n.Node, n.listed = l, true
-		n.use, n.kind = d.usageOf(l.Shard), d.kindOf(l.Kind)
+		n.use = d.usageOf(l.Shard)
 	}
 	slices.SortFunc(d.order, func(a, b *node) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	clear(d.shards)
--- a/choice/state.go
+++ b/choice/state.go
@@ -66,7 +66,6 @@
 	phiSum   float64 // of flows that hold requests
 	out      int
 	outs     []*request
-	kind     *float64      // what nodes of its kind take for a unit
 	missing  int           // time-outs since an answer
 	easy     int           // answers in a row without crowding
 	missedAt time.Duration // send of the last of them
@@ -119,7 +118,6 @@
 	order     []*node // sorted by ID
 	shards    map[Shard]*node
 	usages    map[Shard]*meter
-	kinds     map[int]*float64 // uncrowded seconds of a unit, by kind of node
 	vols      map[VolumeID]*volume
 	volOrder  []*volume
 	reqs      map[RequestID]*request
@@ -229,13 +227,6 @@
 	return d.usages[s]
 }
 
-func (d *Dispatcher) kindOf(k int) *float64 {
-	if d.kinds[k] == nil {
-		d.kinds[k] = new(float64)
-	}
-	return d.kinds[k]
-}
-
 func decay(dt, span time.Duration) float64 { return math.Exp(-dt.Seconds() / span.Seconds()) }
 
 func (d *Dispatcher) at(when time.Duration, t *task) {
