--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,9 +32,9 @@
 	// Admission: a request may be expected to be delayed by so many of the
 	// tightest aim, whatever its own aim: what may wait longer must not fill the
 	// line before what may not. Reserved work gets more room, so that work beyond
-	// it leaves space; a try past its aim takes only idle time.
-	roomReserve, roomBeyond, roomLate = 0.8, 0.3, 0.1
-	afterMin                          = 50 * time.Millisecond // shortest advice to stay away
+	// it leaves space.
+	roomReserve, roomBeyond = 0.8, 0.3
+	afterMin                = 50 * time.Millisecond // shortest advice to stay away
 
 	// Cold nodes: the part of the rule's bound that is used, and over what span a shard's
 	// usual service is averaged.
@@ -372,11 +372,9 @@
 func (d *Dispatcher) room(r *request) float64 {
 	v := r.vol
 	v.fillReserve(d)
-	part := roomBeyond
-	if r.late {
-		part = roomLate
-	} else if v.reserve-v.heldUnits >= 0 {
-		part = roomReserve
+	part := roomReserve
+	if v.reserve < v.heldUnits {
+		part = roomBeyond
 	}
 	return part * (0.5 + 0.5*r.class.Worth*v.plan.Price/max(d.bestValue, 1e-9))
 }
@@ -450,10 +448,7 @@
 	if t := r.turn; t != nil && (t.line[0] != r || (d.now < t.rest && r.attempts == 0)) {
 		return d.now, never // enters the queue only with its turn: cannot happen
 	}
-	if n.until > d.now {
-		return n.until, ofNode
-	}
-	if at := d.coldAt(n, 0); at > d.now {
+	if at := max(n.until, d.coldAt(n, 0)); at > d.now {
 		return at, ofNode
 	}
 	if w, no := d.limitWait(r); no {
@@ -664,14 +659,15 @@
 	c := &d.cfg.Classes[e.Class]
 	d.maxLeft[e.Class] = max(d.maxLeft[e.Class], e.Left)
 	age := d.maxLeft[e.Class] - e.Left // of earlier tries of the same wish
-	d.seq++
-	r := &request{Request: e, class: c, seq: d.seq, deadline: d.now + e.Left, vol: d.volumeOf(e)}
-	r.aimAt = d.now + min(c.Aim, e.Left)
+	// Worth little now, and impatient clients repeat it whatever they are told: such tries
+	// must not take the place, reserve or budget of others.
 	if age >= c.Aim {
-		r.late = true // worth little: it gets an aim of its own, and only idle time
-	} else {
-		r.aimAt = min(r.deadline, r.aimAt-age)
+		d.act(Refuse{ID: e.ID, After: d.cfg.MaxRetryAfter})
+		return
 	}
+	d.seq++
+	r := &request{Request: e, class: c, seq: d.seq, deadline: d.now + e.Left, vol: d.volumeOf(e)}
+	r.aimAt = d.now + min(c.Aim-age, e.Left)
 	d.reqs[r.ID] = r
 	if c.InTurn && r.Key != "" {
 		t := d.turns[r.Key]
--- a/choice/state.go
+++ b/choice/state.go
@@ -33,7 +33,6 @@
 	attempts        int
 	sentAt          time.Duration
 	deadline, aimAt time.Duration
-	late            bool
 	vArr            float64 // the node's v when it was queued
 	mayHaveRun      bool
 	doubtAt         time.Duration // send of the first attempt that may have run
