--- a/choice/state.go
+++ b/choice/state.go
@@ -172,6 +172,7 @@
 	doTurn
 	doAgain
 	doWatch
+	doSilent
 )
 
 type task struct {
