--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,7 +10,6 @@
 
 import (
 	"container/heap"
-	"encoding/binary"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -53,14 +52,12 @@
 	patient  = 1.5  // times its uncrowded time that an attempt may take before it counts as lost
 
 	// Health: so many bad ends in a row, no answer between, make a node suspect.
-	suspectAfter                 = 3
-	silence                      = 2 // tightest aims without an answer
-	tellVersion, silent, answers = 1, 1, 2
-	backoffMin                   = 100 * time.Millisecond
-	backoffMax                   = 2 * time.Second
-	callMin, callMax             = 500 * time.Millisecond, 4 * time.Second // between failed calls to discovery
-	forgetAfter                  = 30 * time.Second                        // idle volumes
-	retryGap                     = 20 * time.Millisecond                   // before a further attempt
+	suspectAfter     = 3
+	backoffMin       = 100 * time.Millisecond
+	backoffMax       = 2 * time.Second
+	callMin, callMax = 500 * time.Millisecond, 4 * time.Second // between failed calls to discovery
+	forgetAfter      = 30 * time.Second                        // idle volumes
+	retryGap         = 20 * time.Millisecond                   // before a further attempt
 )
 
 // New checks the settings and returns a dispatcher that knows nothing yet.
@@ -101,8 +98,6 @@
 		d.onOutcome(e)
 	case Gone:
 		d.onGone(e)
-	case PeerMessage:
-		d.onPeer(e)
 	case Fired:
 		if d.now >= d.wakeAt {
 			d.wakeAt = math.MaxInt64
@@ -406,14 +401,13 @@
 	switch e.Status {
 	case Served:
 		d.miss(n, r, e)
-		if n.bad >= suspectAfter {
-			d.tell(n, answers)
-		}
 		n.bad, n.until = 0, 0
 		n.done.add(d.now, 1, rateSpan)
 		d.heard(n, r, e)
 		n.use.add(d.now, r.Units, usualSpan)
 	case Full, TimedOut, ConnectFailed, Dropped:
+		n.bad++
+		n.easy = 0
 		if e.Status == Full { // a full queue is worth an aim of delay at least
 			n.lat, n.latAt = max(d.delay(n), d.tightest).Seconds(), d.now
 		}
@@ -421,48 +415,11 @@
 			n.missing++
 			n.missedAt = max(n.missedAt, r.sentAt)
 		}
-		if e.Status == ConnectFailed {
-			d.tell(n, silent)
-		}
-		d.badEnd(n)
-	}
-}
-
-// badEnd counts a bad end at n: so many in a row, and it is tried only now and then.
-func (d *Dispatcher) badEnd(n *node) {
-	n.bad++
-	n.easy = 0
-	if n.bad >= suspectAfter {
-		back := min(backoffMin<<min(n.bad-suspectAfter, 8), backoffMax)
-		if d.cfg.PeerMessages {
-			back *= 4
+		if n.bad >= suspectAfter {
+			back := min(backoffMin<<min(n.bad-suspectAfter, 8), backoffMax)
+			n.until = d.now + time.Duration(float64(back)*(0.75+0.5*d.rng.Float64()))
+			d.at(n.until, &task{kind: doPump, node: n})
 		}
-		n.until = d.now + time.Duration(float64(back)*(0.75+0.5*d.rng.Float64()))
-		d.at(n.until, &task{kind: doPump, node: n})
-	}
-}
-
-// tell lets the others know that n is silent, or answers again: each alone would lose
-// several requests to find out. A word of silence counts as one bad end with those who have
-// not heard n lately; messages lost, late or malformed leave everyone to the own evidence.
-func (d *Dispatcher) tell(n *node, word byte) {
-	if d.cfg.PeerMessages && d.cfg.Peers > 1 && d.lost < lossy {
-		d.act(Tell{To: -1, Data: binary.BigEndian.AppendUint16([]byte{tellVersion, word}, uint16(n.Shard))})
-	}
-}
-
-func (d *Dispatcher) onPeer(e PeerMessage) {
-	if len(e.Data) != 4 || e.Data[0] != tellVersion || e.From == d.cfg.Me || e.From < 0 || e.From >= d.cfg.Peers {
-		return
-	}
-	n := d.shards[Shard(binary.BigEndian.Uint16(e.Data[2:]))]
-	switch {
-	case n == nil:
-	case e.Data[1] == answers:
-		n.bad, n.until = 0, 0
-		d.touch(n)
-	case e.Data[1] == silent && d.now-n.latAt > silence*d.tightest && d.lost < lossy:
-		d.badEnd(n)
 	}
 }
 
@@ -622,9 +579,6 @@
 	n.out++
 	n.sentAt = d.now
 	n.outs = append(n.outs, r)
-	if d.cfg.PeerMessages {
-		d.at(d.now+silence*d.tightest, &task{kind: doSilent, req: r, node: n})
-	}
 	d.act(Attempt{ID: r.ID, Node: n.ID, Until: d.patience(r, n)})
 }
 
@@ -952,11 +906,6 @@
 					d.refuse(r, afterMin)
 				}
 			}
-		case doSilent:
-			if r, n := t.req, t.node; r.out && r.node == n && n.latAt < r.sentAt {
-				d.badEnd(n)
-				d.tell(n, silent)
-			}
 		case doWatch:
 			d.act(Watch{On: true})
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -172,7 +172,6 @@
 	doTurn
 	doAgain
 	doWatch
-	doSilent
 )
 
 type task struct {
