--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	// tightest aim, whatever its own aim: what may wait longer must not fill the
 	// line before what may not. Reserved work gets more room, so that work beyond
 	// it leaves space.
-	roomReserve, roomBeyond = 0.8, 0.2
+	roomReserve, roomBeyond = 0.8, 0.3
 	afterMin                = 50 * time.Millisecond // shortest advice to stay away
 
 	// Cold nodes: the part of the rule's bound that is used, and over what span a shard's
@@ -49,7 +49,7 @@
 
 	lostGain = 1.0 / 8
 	lossy    = 0.08 // share of answers lost from which attempts are given up early
-	patient  = 1.5  // times its uncrowded time that an attempt may take before it counts as lost
+	patient  = 4.0  // times its uncrowded time that an attempt may take before it counts as lost
 
 	// Health: so many bad ends in a row, no answer between, make a node suspect.
 	suspectAfter     = 3
@@ -351,8 +351,7 @@
 	}
 	cold := max(0, d.coldAt(n, n.heldSum)-d.now)
 	need = max(need, max(lim, cold)+delay)
-	one := n.service(max(d.cfg.UsualUnits, 1)) // less than one request cannot be told from noise
-	room := min(max(one, time.Duration(float64(d.tightest)*d.room(r))), r.aimAt-d.now-own)
+	room := min(time.Duration(float64(d.tightest)*d.room(r)), r.aimAt-d.now-own)
 	idle := d.idle(n) && d.now >= n.until && lim == 0 && cold == 0
 	if need > room && !idle {
 		d.refuse(r, need-room)
