--- a/choice/api.go
+++ b/choice/api.go
@@ -44,26 +44,17 @@
 // settings are absent (zero) is off.
 type Config struct {
 	Me, Peers     int  // this dispatcher's number, and how many there are
-	PeerMessages  bool // dispatchers may Tell each other
 	Cancel        bool // attempts may be cancelled
-	Probes        bool // nodes may be probed
 	AskDiscovery  bool // node lists come only when asked for
-	RetryAfter    bool // clients hear the time to come back
 	MaxRetryAfter time.Duration
 	MaxAttempts   int // for one request; 0: no bound
 	Round         time.Duration
-	AnswerSlack   time.Duration
-	AskWithin     time.Duration // ask discovery at least this often when not subscribed
-	DrainGrace    time.Duration
 
 	Classes []Class
 	Plans   []Plan
 
-	UsualUnits   float64       // mean units of a request
-	LargestUnits float64       // units of the largest request
-	FairWorth    float64       // worth of units beyond the reserve, within the share
-	SpareWorth   float64       // worth of units beyond both
-	Meter        time.Duration // period of the use figures; 0: there are none
+	UsualUnits   float64 // mean units of a request
+	LargestUnits float64 // units of the largest request
 
 	Cold   ColdRule
 	Budget BudgetRule
@@ -75,17 +66,16 @@
 	Name          string
 	Aim, Deadline time.Duration
 	Worth         float64
-	LateWorth     float64
 	Effect        Effect
 	Group         Group
 	Window        time.Duration
-	InTurn, Write bool
+	InTurn        bool // requests with one key run one at a time, in order
 }
 
 // Plan holds the figures of a volume over all dispatchers and nodes.
 type Plan struct {
 	Name                string
-	Rate, Reserve       float64 // units a second
+	Reserve             float64 // units a second
 	Weight              float64
 	Price               float64
 	Limit, Burst, Slack float64 // Limit 0: none
@@ -124,7 +114,6 @@
 	Kind    int
 	Shard   Shard
 	State   NodeState
-	Size    float64
 	Started time.Duration // 0: long ago
 }
 
@@ -144,9 +133,8 @@
 
 // NodeList is news from discovery.
 type NodeList struct {
-	Version int64
-	Kind    ListKind
-	Nodes   []Node
+	Kind  ListKind
+	Nodes []Node
 }
 
 // Request is a client's request, to be answered once before Left has passed.
@@ -160,8 +148,6 @@
 	Units  float64
 	Hosts  int // dispatchers through which the volume's requests come
 	Left   time.Duration
-	Repeat bool // a client's further try, where clients mark it
-	Write  bool
 }
 
 // Status is how an attempt ended.
@@ -196,40 +182,17 @@
 	Report    Report
 }
 
-// Started tells that a streamed answer has begun; the attempt is the client's.
-type Started struct {
-	ID      RequestID
-	Attempt int
-}
-
 // Gone tells that the client has left.
 type Gone struct{ ID RequestID }
 
 // Fired is a timer that the dispatcher has set.
 type Fired struct{ Token string }
 
-// Probed is the result of a Probe.
-type Probed struct {
-	Node   NodeID
-	Status Status
-	Took   time.Duration
-	Report Report
-}
-
-// PeerMessage comes from another dispatcher.
-type PeerMessage struct {
-	From int
-	Data []byte
-}
-
-func (NodeList) event()    {}
-func (Request) event()     {}
-func (Outcome) event()     {}
-func (Started) event()     {}
-func (Gone) event()        {}
-func (Fired) event()       {}
-func (Probed) event()      {}
-func (PeerMessage) event() {}
+func (NodeList) event() {}
+func (Request) event()  {}
+func (Outcome) event()  {}
+func (Gone) event()     {}
+func (Fired) event()    {}
 
 // Action is something that a dispatcher wants done, in the order given.
 type Action interface{ action() }
@@ -265,28 +228,9 @@
 // Watch asks discovery for changes from now on.
 type Watch struct{ On bool }
 
-// Fetch asks discovery for the whole list once.
-type Fetch struct{}
-
-// Probe checks a node.
-type Probe struct{ Node NodeID }
-
-// Tell sends a message to a peer, or to all when To is negative.
-type Tell struct {
-	To   int
-	Data []byte
-}
-
-// Log records a line.
-type Log struct{ Text string }
-
 func (Attempt) action()  {}
 func (Refuse) action()   {}
 func (Fail) action()     {}
 func (Cancel) action()   {}
 func (SetTimer) action() {}
 func (Watch) action()    {}
-func (Fetch) action()    {}
-func (Probe) action()    {}
-func (Tell) action()     {}
-func (Log) action()      {}
--- a/choice/check.go
+++ b/choice/check.go
@@ -36,7 +36,7 @@
 		if !(p.Weight > 0) || math.IsInf(p.Weight, 0) {
 			return fmt.Errorf("Plans[%d].Weight: want above 0", i)
 		}
-		if p.Limit < 0 || p.Burst < 0 || p.Slack < 0 || p.Reserve < 0 || p.Rate < 0 {
+		if p.Limit < 0 || p.Burst < 0 || p.Slack < 0 || p.Reserve < 0 {
 			return fmt.Errorf("Plans[%d]: negative figure", i)
 		}
 	}
--- a/choice/checker_test.go
+++ b/choice/checker_test.go
@@ -9,6 +9,7 @@
 // actions alone. It shares no code and no state with the module.
 type checker struct {
 	cfg    Config
+	slack  time.Duration     // after the deadline, for an answer
 	broken map[string]string // rule -> first breach
 	lives  []*life
 	stores map[VolumeID]*store
@@ -49,8 +50,10 @@
 	restTill time.Duration
 }
 
+const drainGrace = 100 * ms
+
 func newChecker(cfg Config) *checker {
-	return &checker{cfg: cfg, broken: map[string]string{}, lives: make([]*life, cfg.Peers),
+	return &checker{cfg: cfg, slack: 8 * ms, broken: map[string]string{}, lives: make([]*life, cfg.Peers),
 		stores: map[VolumeID]*store{}, works: map[NodeID][]work{},
 		served: map[NodeID][]work{}, nodes: map[NodeID]Node{}}
 }
@@ -158,7 +161,7 @@
 	if t.mayRun && (k.Effect == Unsafe || k.Effect == Keyed && (n.Shard != t.shard || now-t.doubt >= k.Window)) {
 		c.breach("effects", "request %d sent again though it may have run", a.ID)
 	}
-	if told, ok := l.told[a.Node]; ok && now > told+c.cfg.DrainGrace {
+	if told, ok := l.told[a.Node]; ok && now > told+drainGrace {
 		c.breach("drain", "request %d sent to %s, %v after it was told", a.ID, a.Node, now-told)
 	}
 	c.orderKept(l, now, t, k)
@@ -257,7 +260,7 @@
 			continue
 		}
 		for id, t := range l.reqs {
-			if !t.answered && now > t.taken+t.req.Left+c.cfg.AnswerSlack {
+			if !t.answered && now > t.taken+t.req.Left+c.slack {
 				c.breach("answer", "request %d overdue", id)
 			}
 		}
--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -13,7 +13,7 @@
 	d, err := choice.New(choice.Config{
 		Me: 0, Peers: 1, MaxRetryAfter: time.Second, UsualUnits: 2, LargestUnits: 8,
 		Classes: []choice.Class{{Name: "read", Aim: 200 * time.Millisecond, Deadline: time.Second, Worth: 1}},
-		Plans:   []choice.Plan{{Name: "standard", Rate: 50, Reserve: 20, Weight: 1, Price: 1}},
+		Plans:   []choice.Plan{{Name: "standard", Reserve: 20, Weight: 1, Price: 1}},
 	}, 42)
 	if err != nil {
 		fmt.Println(err)
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -10,18 +10,18 @@
 // testConfig is a made-up site with every rule on.
 func testConfig() Config {
 	return Config{
-		Me: 0, Peers: 2, Cancel: true, RetryAfter: true, MaxRetryAfter: time.Second, MaxAttempts: 3,
-		Round: 2 * ms, AnswerSlack: 8 * ms, DrainGrace: 100 * ms,
-		UsualUnits: 2, LargestUnits: 8, FairWorth: 0.4, SpareWorth: 0.1, Meter: time.Second,
+		Me: 0, Peers: 2, Cancel: true, MaxRetryAfter: time.Second, MaxAttempts: 3,
+		Round:      2 * ms,
+		UsualUnits: 2, LargestUnits: 8,
 		Classes: []Class{
 			{Name: "look", Aim: 200 * ms, Deadline: time.Second, Worth: 2, Effect: Safe},
 			{Name: "put", Aim: 300 * ms, Deadline: 1500 * ms, Worth: 2, Effect: Keyed, Group: GroupShard,
-				Window: 800 * ms, InTurn: true, Write: true},
-			{Name: "pay", Aim: 300 * ms, Deadline: 1500 * ms, Worth: 2, Effect: Unsafe, Write: true},
+				Window: 800 * ms, InTurn: true},
+			{Name: "pay", Aim: 300 * ms, Deadline: 1500 * ms, Worth: 2, Effect: Unsafe},
 		},
 		Plans: []Plan{
-			{Name: "small", Rate: 10, Reserve: 5, Weight: 1, Price: 1, Limit: 30, Burst: 40, Slack: 8},
-			{Name: "large", Rate: 30, Reserve: 30, Weight: 3, Price: 1},
+			{Name: "small", Reserve: 5, Weight: 1, Price: 1, Limit: 30, Burst: 40, Slack: 8},
+			{Name: "large", Reserve: 30, Weight: 3, Price: 1},
 		},
 		Cold:   ColdRule{From: 0.2, WarmUp: 10 * time.Second, Multiple: 2.5, Span: time.Second, YoungLimit: 20},
 		Budget: BudgetRule{Free: 2, Ratio: 0.1, Span: 5 * time.Second},
--- a/choice/random_test.go
+++ b/choice/random_test.go
@@ -36,8 +36,9 @@
 	rng           *rand.Rand
 	module, truth Config
 	hideDrains    bool
-	lost          float64 // share of answers that never come
-	hosts         int     // of each volume
+	impatience    time.Duration // of the checker
+	lost          float64       // share of answers that never come
+	hosts         int           // of each volume
 	now           time.Duration
 	q             queueOf
 	seq           int
@@ -163,6 +164,7 @@
 	s.ds, s.lives = make([]*Dispatcher, s.truth.Peers), make([]int, s.truth.Peers)
 	s.sent = make([]map[RequestID]int, s.truth.Peers)
 	s.ck = newChecker(s.truth)
+	s.ck.slack -= s.impatience
 	for i := range 3 {
 		n := Node{ID: NodeID(fmt.Sprint("n", i)), Shard: Shard(i)}
 		s.nodes = append(s.nodes, n)
@@ -275,7 +277,7 @@
 				s.truth.Classes[i].Deadline = 50 * ms
 				s.module.Classes[i].Aim = time.Hour
 			}
-			s.truth.AnswerSlack = -49 * ms
+			s.impatience = 57 * ms
 		},
 	} {
 		s := newStorm(1)
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -90,6 +90,9 @@
 			reply = kept
 			continue
 		}
+		if it.Event == nil {
+			continue // of a kind that the decisions do not use
+		}
 		if r, ok := it.Event.(choice.Request); ok {
 			if r.Class < 0 || r.Class >= len(in.cfg.Classes) {
 				return bad("ASK: tier_class %d: expected 0 to %d", r.Class, len(in.cfg.Classes)-1)
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -27,26 +27,23 @@
 	}
 	c := choice.Config{
 		Me: p.integer("me"), Peers: p.integer("peers_total"),
-		PeerMessages: p.boolean("limits.may_tell"), Cancel: p.boolean("limits.cancel"), Probes: p.boolean("limits.probes"),
-		AskDiscovery: p.m["discovery"] == "on_request", RetryAfter: p.boolean("limits.retry_after"),
+		Cancel:        p.boolean("limits.cancel"),
+		AskDiscovery:  p.m["discovery"] == "on_request",
 		MaxRetryAfter: p.time("limits.max_retry_after_ms"), MaxAttempts: p.integer("limits.try_limit"),
-		Round: p.time("round_ms"), AnswerSlack: p.time("rules.answer_slack_ms"), AskWithin: p.time("rules.ask_within_ms"),
-		DrainGrace: p.time("rules.drain_grace_ms"), UsualUnits: p.number("family_info.usual_units"),
-		LargestUnits: p.number("family_info.largest"), FairWorth: p.number("family_info.fair_worth"),
-		SpareWorth: p.number("family_info.beyond_share"), Meter: p.time("family_info.metering_ms"),
-		Settle: p.time("rules.settle_after_doubt_ms"),
+		Round: p.time("round_ms"), UsualUnits: p.number("family_info.usual_units"),
+		LargestUnits: p.number("family_info.largest"),
+		Settle:       p.time("rules.settle_after_doubt_ms"),
 		Cold: choice.ColdRule{From: p.number("rules.cold_from"), WarmUp: p.time("rules.warm_up_ms"),
 			Multiple: p.number("rules.overload_factor"), Span: p.time("rules.overload_for_ms"),
 			YoungLimit: p.number("family_info.young_limit")},
 		Budget: choice.BudgetRule{Free: p.number("rules.free_resends"), Ratio: p.number("rules.resend_ratio"),
 			Span: p.time("rules.resend_span_ms")},
 	}
-	writes := strings.Split(p.m["family_info.class_writes"], ",")
 	for i := range p.count("classes.count") {
 		at := fmt.Sprintf("classes.%d.", i)
 		k := choice.Class{Name: p.m[at+"name"], Aim: p.time(at + "slo_ms"), Deadline: p.time(at + "deadline_ms"),
-			Worth: p.number(at + "credit"), LateWorth: p.number(at + "late_worth"), Window: p.time(at + "window_ms"),
-			InTurn: p.boolean(at + "in_turn"), Write: i < len(writes) && writes[i] == "true"}
+			Worth: p.number(at + "credit"), Window: p.time(at + "window_ms"),
+			InTurn: p.boolean(at + "in_turn")}
 		k.Effect = choice.Effect(p.oneOf(at+"effect", map[string]int{"": int(choice.Unsafe),
 			"idempotent": int(choice.Safe), "deduplicated": int(choice.Keyed), "at_most_once": int(choice.Unsafe)}))
 		k.Group = choice.Group(p.oneOf(at+"group", map[string]int{"": int(choice.GroupShard),
@@ -55,7 +52,7 @@
 	}
 	for i := range p.count("policies.count") {
 		at := fmt.Sprintf("policies.%d.", i)
-		c.Plans = append(c.Plans, choice.Plan{Name: p.m[at+"name"], Rate: p.number(at + "base_rate"),
+		c.Plans = append(c.Plans, choice.Plan{Name: p.m[at+"name"],
 			Reserve: p.number(at + "guaranteed"), Weight: p.number(at + "weight"), Price: p.number(at + "value_factor"),
 			Limit: p.number(at + "limit"), Burst: p.number(at + "limit_burst"), Slack: p.number(at + "cap_slack")})
 	}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -146,7 +146,8 @@
 	case "CRASH_NOW":
 		it.Kind = Crash
 	case "FLEET":
-		ev := choice.NodeList{Version: f.integer("index")}
+		f.integer("index")
+		ev := choice.NodeList{}
 		ev.Kind = choice.ListKind(f.oneOf("kind", listKinds))
 		bank := f.word("bank")
 		if ev.Kind != choice.Failed && f.err == nil {
@@ -163,7 +164,8 @@
 	case "ATTEMPT_END":
 		it.Event = f.outcome()
 	case "ACK_FIRST":
-		it.Event = choice.Started{ID: f.rid(), Attempt: int(f.integer("leg"))}
+		f.rid()
+		f.integer("leg")
 		f.word("server")
 		f.time("wait_time_ms")
 	case "ABANDONED":
@@ -171,18 +173,17 @@
 	case "TIMEOUT_FIRED":
 		it.Event = choice.Fired{Token: f.word("label")}
 	case "SAMPLED":
-		it.Event = choice.Probed{Node: choice.NodeID(f.word("server")), Status: choice.Status(f.oneOf("status", statuses)),
-			Took: f.time("wait_time_ms"), Report: f.report()}
+		f.word("server")
+		f.oneOf("status", statuses)
+		f.time("wait_time_ms")
+		f.report()
 	case "DATAGRAM":
-		ev := choice.PeerMessage{From: int(f.integer("author"))}
+		f.integer("author")
 		if s := f.word("bytes"); s != "-" && f.err == nil {
-			data, err := base64.StdEncoding.DecodeString(s)
-			if err != nil {
+			if _, err := base64.StdEncoding.DecodeString(s); err != nil {
 				return it, false, d.fail("DATAGRAM: bytes: expected base64, got %q", s)
 			}
-			ev.Data = data
 		}
-		it.Event = ev
 	}
 	return it, true, f.done()
 }
@@ -219,9 +220,12 @@
 		if e.verb != "ITEM" {
 			return d.fail("PAGE: expected %d ITEM lines, got %q after %d", count, e.verb, i)
 		}
-		nodes = append(nodes, choice.Node{ID: choice.NodeID(e.word("server")), Zone: int(e.integer("dc")),
+		n := choice.Node{ID: choice.NodeID(e.word("server")), Zone: int(e.integer("dc")),
 			Kind: int(e.integer("shape")), Shard: choice.Shard(e.integer("pack")),
-			State: choice.NodeState(e.oneOf("health", nodeStates)), Size: e.number("size"), Started: e.time("online_since_ms")})
+			State: choice.NodeState(e.oneOf("health", nodeStates))}
+		e.number("size")
+		n.Started = e.time("online_since_ms")
+		nodes = append(nodes, n)
 		if err := e.done(); err != nil {
 			return err
 		}
@@ -232,8 +236,7 @@
 
 func (f *fields) ask() choice.Event {
 	r := choice.Request{ID: f.rid(), Hosts: int(f.number("attached")), Plan: int(f.integer("plan"))}
-	bits := f.integer("state_bits")
-	r.Repeat, r.Write = bits&2 != 0, bits&4 != 0
+	f.integer("state_bits")
 	r.Units = f.number("quota_units")
 	r.Class = int(f.integer("tier_class"))
 	if r.Key = f.word("object"); r.Key == "-" {
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/base64"
 	"io"
 	"strconv"
 	"strings"
@@ -58,22 +57,6 @@
 			on = "1"
 		}
 		e.line("TAIL", on)
-	case choice.Fetch:
-		e.line("REFRESH")
-	case choice.Probe:
-		e.line("TEST", string(a.Node))
-	case choice.Tell:
-		to := "*"
-		if a.To >= 0 {
-			to = strconv.Itoa(a.To)
-		}
-		data := "-"
-		if len(a.Data) > 0 {
-			data = base64.StdEncoding.EncodeToString(a.Data)
-		}
-		e.line("SAY", to, data)
-	case choice.Log:
-		e.line("SAY_LOG", oneLine(a.Text))
 	}
 }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -37,7 +37,7 @@
 	}
 	c := b.Items[0].Config
 	if k := c.Classes[0]; b.Items[0].Seed != 51 || c.Me != 1 || c.Peers != 2 || !c.AskDiscovery || k.Effect != choice.Keyed ||
-		k.Group != choice.GroupZone || !k.InTurn || !k.Write || k.Aim != 300*time.Millisecond || c.Plans[0].Limit != 22 ||
+		k.Group != choice.GroupZone || !k.InTurn || k.Aim != 300*time.Millisecond || c.Plans[0].Limit != 22 ||
 		c.Budget.Span != 5*time.Second || c.Settle != 40*time.Millisecond {
 		t.Errorf("config %+v", c)
 	}
@@ -46,7 +46,7 @@
 		l.Nodes[1].Started != 6100*time.Millisecond || l.Nodes[0].Shard != 5 {
 		t.Errorf("list %+v", l)
 	}
-	if q := b.Items[2].Event.(choice.Request); q.ID != 4068207471792580 || q.Hosts != 3 || !q.Repeat || !q.Write || q.Units != 2 ||
+	if q := b.Items[2].Event.(choice.Request); q.ID != 4068207471792580 || q.Hosts != 3 || q.Units != 2 ||
 		q.Key != "ext-k" || q.Volume != "c:vol" || q.Shard != 0 || q.Left != 240*time.Millisecond {
 		t.Errorf("request %+v", q)
 	}
@@ -56,8 +56,8 @@
 	if o := b.Items[4].Event.(choice.Outcome); !o.Concluded || o.Use != 86 || o.Elsewhere != 3 || o.Report["latency_ms"] != 14.5 {
 		t.Errorf("outcome %+v", o)
 	}
-	if m := b.Items[7].Event.(choice.PeerMessage); string(m.Data) != "hi 7" {
-		t.Errorf("message %+v", m)
+	if e := b.Items[7].Event; e != nil {
+		t.Errorf("a message that nothing uses became %+v", e)
 	}
 	if b.Items[8].Kind != Crash {
 		t.Errorf("kind %v, want a crash", b.Items[8].Kind)
@@ -112,8 +112,6 @@
 		choice.Attempt{ID: 4068207471792580, Node: "10.18.74.7:8003", Until: 8492250 * time.Microsecond},
 		choice.Attempt{ID: 1, Node: "n"}, choice.Refuse{ID: 2, After: 50 * time.Millisecond}, choice.Fail{ID: 3},
 		choice.Cancel{ID: 4, Attempt: 1}, choice.SetTimer{At: 8912250001, Token: "wake"}, choice.Watch{On: true}, choice.Watch{},
-		choice.Fetch{}, choice.Probe{Node: "n"}, choice.Tell{To: -1, Data: []byte("hi 7")}, choice.Tell{To: 2},
-		choice.Log{Text: "two\nlines"},
 	} {
 		e.Action(a)
 	}
@@ -130,11 +128,6 @@
 DEFER 8912.251 wake
 TAIL 1
 TAIL 0
-REFRESH
-TEST n
-SAY * aGkgNw==
-SAY 2 -
-SAY_LOG two lines
 FATAL no way
 READY
 `
