--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,9 +47,8 @@
 	delayHalf              = 3.0 // tightest aims
 	baseQuantile, baseGain = 0.3, 0.1
 
-	lostGain = 1.0 / 8
-	lossy    = 0.08 // share of answers lost from which attempts are given up early
-	patient  = 4.0  // times its uncrowded time that an attempt may take before it counts as lost
+	lossy   = 0.08 // share of answers lost from which attempts are given up early
+	patient = 4.0  // times its uncrowded time that an attempt may take before it counts as lost
 
 	// Health: so many bad ends in a row, no answer between, make a node suspect.
 	suspectAfter     = 3
@@ -267,6 +266,9 @@
 		floor = min(depthMin, max(1, depthMax/d.cfg.Peers)+n.easy/2) // four each from many flood it
 	}
 	deep := min(max(float64(floor), math.Ceil(n.done.rate(d.now, rateSpan)*d.tightest.Seconds())), depthMax)
+	if d.lost >= lossy { // lost ones keep their places until they are given up
+		deep *= 1 + patient*d.lost
+	}
 	// Crowding: four for each of many dispatchers may be more than the node
 	// serves within the tightest aim. The delay tells, whoever fills it.
 	if l, most := d.delay(n).Seconds(), crowded*d.tightest.Seconds(); l > most {
@@ -427,10 +429,12 @@
 // later one at the same node was answered without delay. A node that is silent, or slow,
 // answers none so; its time-outs prove nothing.
 func (d *Dispatcher) miss(n *node, r *request, e Outcome) {
-	d.lost *= 1 - lostGain
+	d.answers.add(d.now, 1, rateSpan)
 	if r.sentAt > n.missedAt && (e.Took-n.service(r.Units)).Seconds() < crowded*d.tightest.Seconds() {
-		d.lost += (1 - d.lost) * min(1, lostGain*float64(n.missing))
+		d.missed.add(d.now, float64(n.missing), rateSpan)
 	}
+	gone := d.missed.rate(d.now, rateSpan)
+	d.lost = gone / (gone + d.answers.rate(d.now, rateSpan))
 	n.missing = 0
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -126,7 +126,9 @@
 	wakeAt    time.Duration
 	seq       uint64
 	taken     []time.Duration // of requests, within the budget's span
-	lost      float64
+	answers   meter           // served
+	missed    meter           // lost, while their nodes answered others
+	lost      float64         // share of answers that are lost
 	extra     []time.Duration // of further attempts
 	calls     int             // failed calls to discovery in a row
 	dirty     []*node
