--- a/choice/choice.go
+++ b/choice/choice.go
@@ -266,9 +266,6 @@
 		floor = min(depthMin, max(1, depthMax/d.cfg.Peers)+n.easy/2) // four each from many flood it
 	}
 	deep := min(max(float64(floor), math.Ceil(n.done.rate(d.now, rateSpan)*d.tightest.Seconds())), depthMax)
-	if d.lost >= lossy { // lost ones keep their places until they are given up
-		deep *= 1 + patient*d.lost
-	}
 	// Crowding: four for each of many dispatchers may be more than the node
 	// serves within the tightest aim. The delay tells, whoever fills it.
 	if l, most := d.delay(n).Seconds(), crowded*d.tightest.Seconds(); l > most {
@@ -284,7 +281,7 @@
 // before any outcome.
 func (d *Dispatcher) delay(n *node) time.Duration {
 	l := n.lat * math.Exp2(-float64(d.now-n.latAt)/(delayHalf*float64(d.tightest)))
-	for len(n.outs) > 0 && !(n.outs[0].out && n.outs[0].node == n) {
+	for len(n.outs) > 0 && !(n.outs[0].out && n.outs[0].node == n && n.outs[0].sentAt >= n.passed) {
 		n.outs = n.outs[1:]
 	}
 	e := seconds(l)
@@ -403,6 +400,7 @@
 	switch e.Status {
 	case Served:
 		d.miss(n, r, e)
+		n.passed = max(n.passed, r.sentAt)
 		n.bad, n.until = 0, 0
 		n.done.add(d.now, 1, rateSpan)
 		d.heard(n, r, e)
--- a/choice/state.go
+++ b/choice/state.go
@@ -68,6 +68,7 @@
 	missing  int           // time-outs since an answer
 	easy     int           // answers in a row without crowding
 	missedAt time.Duration // send of the last of them
+	passed   time.Duration // send of the latest attempt that was answered
 	sentAt   time.Duration
 	done     meter   // served answers
 	lat      float64 // expected delay, seconds
