--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,8 +47,9 @@
 	delayHalf              = 3.0 // tightest aims
 	baseQuantile, baseGain = 0.3, 0.1
 
-	lossy   = 0.08 // share of answers lost from which attempts are given up early
-	patient = 4.0  // times its uncrowded time that an attempt may take before it counts as lost
+	lostGain = 1.0 / 8
+	lossy    = 0.08 // share of answers lost from which attempts are given up early
+	patient  = 4.0  // times its uncrowded time that an attempt may take before it counts as lost
 
 	// Health: so many bad ends in a row, no answer between, make a node suspect.
 	suspectAfter     = 3
@@ -281,7 +282,7 @@
 // before any outcome.
 func (d *Dispatcher) delay(n *node) time.Duration {
 	l := n.lat * math.Exp2(-float64(d.now-n.latAt)/(delayHalf*float64(d.tightest)))
-	for len(n.outs) > 0 && !(n.outs[0].out && n.outs[0].node == n && n.outs[0].sentAt >= n.passed) {
+	for len(n.outs) > 0 && !(n.outs[0].out && n.outs[0].node == n) {
 		n.outs = n.outs[1:]
 	}
 	e := seconds(l)
@@ -400,7 +401,6 @@
 	switch e.Status {
 	case Served:
 		d.miss(n, r, e)
-		n.passed = max(n.passed, r.sentAt)
 		n.bad, n.until = 0, 0
 		n.done.add(d.now, 1, rateSpan)
 		d.heard(n, r, e)
@@ -427,12 +427,10 @@
 // later one at the same node was answered without delay. A node that is silent, or slow,
 // answers none so; its time-outs prove nothing.
 func (d *Dispatcher) miss(n *node, r *request, e Outcome) {
-	d.answers.add(d.now, 1, rateSpan)
+	d.lost *= 1 - lostGain
 	if r.sentAt > n.missedAt && (e.Took-n.service(r.Units)).Seconds() < crowded*d.tightest.Seconds() {
-		d.missed.add(d.now, float64(n.missing), rateSpan)
+		d.lost += (1 - d.lost) * min(1, lostGain*float64(n.missing))
 	}
-	gone := d.missed.rate(d.now, rateSpan)
-	d.lost = gone / (gone + d.answers.rate(d.now, rateSpan))
 	n.missing = 0
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -68,7 +68,6 @@
 	missing  int           // time-outs since an answer
 	easy     int           // answers in a row without crowding
 	missedAt time.Duration // send of the last of them
-	passed   time.Duration // send of the latest attempt that was answered
 	sentAt   time.Duration
 	done     meter   // served answers
 	lat      float64 // expected delay, seconds
@@ -127,9 +126,7 @@
 	wakeAt    time.Duration
 	seq       uint64
 	taken     []time.Duration // of requests, within the budget's span
-	answers   meter           // served
-	missed    meter           // lost, while their nodes answered others
-	lost      float64         // share of answers that are lost
+	lost      float64
 	extra     []time.Duration // of further attempts
 	calls     int             // failed calls to discovery in a row
 	dirty     []*node
