--- /dev/null
+++ b/choice/odd_test.go
@@ -0,0 +1,107 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Odd but possible input at a grown deployment leads to a harmless decision.
+func TestOddInput(t *testing.T) {
+	t.Run("more hosts than there are dispatchers", func(t *testing.T) {
+		r := newRig(t, testConfig()) // limit 30, burst and slack 48, in 12 parts
+		sent := 0.0
+		for range 40 {
+			id, _ := r.ask(Request{Shard: 0, Hosts: 12})
+			if q := r.d.reqs[id]; q != nil && q.out {
+				sent++
+				r.end(id, 0, Served)
+			}
+		}
+		if sent > 48.0/12 {
+			t.Errorf("%g units at once, want at most a twelfth of the store", sent)
+		}
+	})
+	t.Run("a node changes kind and shard under its id", func(t *testing.T) {
+		r := newRig(t, testConfig())
+		for range 5 {
+			r.ask(Request{Shard: 0, Plan: 1})
+		}
+		r.list(Changes, Node{ID: "n0", Shard: 9, Kind: 3})
+		id, acts := r.ask(Request{Shard: 0, Plan: 1})
+		want(t, "its old shard", acts, id, "refused")
+		for id, q := range r.d.reqs {
+			if q.out {
+				r.end(id, 0, Served)
+			}
+		}
+		for _, a := range r.at(time.Second) {
+			if a, ok := a.(Attempt); ok {
+				t.Errorf("request %d of the old shard sent to the node", a.ID)
+			}
+		}
+		id, acts = r.ask(Request{Shard: 9, Plan: 1})
+		want(t, "its new shard", acts, id, "sent")
+	})
+	t.Run("an outcome after the attempt's own time-out", func(t *testing.T) {
+		r := newRig(t, testConfig())
+		id, _ := r.ask(Request{Shard: 0, Plan: 1})
+		r.now += 10 * ms
+		r.end(id, 0, TimedOut)
+		acts := r.at(ms)
+		want(t, "tried again", acts, id, "sent")
+		want(t, "a second end of the first attempt", r.end(id, 0, Served), id, "held")
+		if q := r.d.reqs[id]; q == nil || !q.out {
+			t.Error("the second attempt is no longer awaited")
+		}
+		r.end(id, 1, Served)
+		r.end(id, 1, Served)
+		if len(r.d.reqs) != 0 || r.d.nodes["n0"].out != 0 {
+			t.Errorf("%d requests, %d out", len(r.d.reqs), r.d.nodes["n0"].out)
+		}
+	})
+	t.Run("an older or repeated use figure acts once an interval at most", func(t *testing.T) {
+		r := newRig(t, testConfig())
+		for range 6 {
+			id, _ := r.ask(Request{Shard: 0, Plan: 1})
+			r.do(Outcome{ID: id, Status: Served, Concluded: true, Took: 5 * ms, Use: 301})
+		}
+		r.at(controlEvery)
+		phi := r.d.vols["v"].phi
+		if r.at(controlEvery); r.d.vols["v"].phi != phi || phi >= 3 {
+			t.Errorf("weight %g, then %g: want one step down from 3", phi, r.d.vols["v"].phi)
+		}
+	})
+}
+
+// The cost of a decision by backlog and by number of nodes: at most a logarithm of the one,
+// nothing of the other.
+func BenchmarkDecision(b *testing.B) {
+	for _, nodes := range []int{10, 1000} {
+		for _, backlog := range []int{0, 100, 10000} {
+			b.Run(fmt.Sprintf("nodes=%d/backlog=%d", nodes, backlog), func(b *testing.B) {
+				cfg := testConfig()
+				cfg.Classes[0].Aim, cfg.Classes[0].Deadline = time.Hour, 2*time.Hour
+				d, _ := New(cfg, 1)
+				l := NodeList{Kind: Complete}
+				for i := range nodes {
+					l.Nodes = append(l.Nodes, Node{ID: NodeID(fmt.Sprint("n", i)), Shard: Shard(i)})
+				}
+				d.Handle(0, l)
+				id := RequestID(0)
+				ask := func() {
+					id++
+					d.Handle(time.Second, Request{ID: id, Plan: 1, Volume: VolumeID(fmt.Sprint("v", id%500)),
+						Shard: 0, Units: 1, Hosts: 1, Left: 2 * time.Hour})
+				}
+				for range backlog {
+					ask()
+				}
+				for b.Loop() {
+					ask()
+					d.Handle(time.Second, Gone{id})
+				}
+			})
+		}
+	}
+}
