--- a/choice/choice.go
+++ b/choice/choice.go
@@ -340,20 +340,25 @@
 	return time.Duration(ahead / usual * float64(each) / float64(depth))
 }
 
-// admit holds r at n, or refuses it at once when it cannot be answered in time.
+// admit holds r at n, or refuses it at once when it cannot be answered in time. The delay
+// that it may meet, in tightest aims, follows its worth and whether its volume is inside
+// the reserve; at a cold node work beyond the reserve leaves a request's room to that.
 func (d *Dispatcher) admit(r *request, n *node) {
-	delay, own := d.delay(n), n.service(r.Units)
-	need := d.wait(r, n) + delay + max(0, n.until-d.now)
 	lim, never := d.limitWait(r)
 	if never {
 		d.refuse(r, d.cfg.MaxRetryAfter)
 		return
 	}
-	cold := max(0, d.coldAt(n, n.heldSum)-d.now)
-	need = max(need, max(lim, cold)+delay)
-	room := min(time.Duration(float64(d.tightest)*d.room(r)), r.aimAt-d.now-own)
-	idle := d.idle(n) && d.now >= n.until && lim == 0 && cold == 0
-	if need > room && !idle {
+	v, part, ahead := r.vol, roomReserve, n.heldSum
+	v.fillReserve(d)
+	if v.reserve < v.heldUnits {
+		part, ahead = roomBeyond, ahead+d.cfg.UsualUnits
+	}
+	part *= 0.5 + 0.5*r.class.Worth*v.plan.Price/max(d.bestValue, 1e-9)
+	delay, cold := d.delay(n), max(0, d.coldAt(n, ahead)-d.now)
+	need := delay + max(d.wait(r, n)+max(0, n.until-d.now), lim, cold)
+	room := min(time.Duration(float64(d.tightest)*part), r.aimAt-d.now-n.service(r.Units))
+	if need > room && !(d.idle(n) && d.now >= n.until && lim == 0 && cold == 0) {
 		d.refuse(r, need-room)
 		return
 	}
@@ -368,17 +373,6 @@
 	return n.out == 0 && n.held <= 1 && d.now-n.sentAt >= gap
 }
 
-// room is the delay that r may meet, in tightest aims, by its worth.
-func (d *Dispatcher) room(r *request) float64 {
-	v := r.vol
-	v.fillReserve(d)
-	part := roomReserve
-	if v.reserve < v.heldUnits {
-		part = roomBeyond
-	}
-	return part * (0.5 + 0.5*r.class.Worth*v.plan.Price/max(d.bestValue, 1e-9))
-}
-
 // fillReserve keeps the store of reserved units, as far as it is seen from here.
 func (v *volume) fillReserve(d *Dispatcher) {
 	v.reserve = min(v.reserveTop(d), v.reserve+v.plan.Reserve*(d.now-v.reserveAt).Seconds())
@@ -550,7 +544,7 @@
 	if from := max(n.Started, d.born); n.debtAt < from { // an earlier life's debt is unknown
 		n.debt, n.debtAt = d.rng.Float64()*max(d.cfg.UsualUnits, 1), from
 	}
-	n.debt = max(0, n.debt-rate*(d.now-n.debtAt).Seconds())
+	n.debt = max(-d.cfg.UsualUnits, n.debt-rate*(d.now-n.debtAt).Seconds())
 	n.debtAt = d.now
 	if n.debt+ahead <= 0 {
 		return 0
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -273,6 +274,21 @@
 			t.Errorf("a mean debt of %g units, want half a usual request", debts)
 		}
 	})
+	t.Run("reserved work gets the little there is first", func(t *testing.T) {
+		for _, beyond := range []bool{false, true} {
+			r := start(usual)
+			n := r.d.nodes["n0"]
+			r.d.coldAt(n, 0)
+			n.debt = -0.5 // less than a usual request
+			id, _ := r.ask(Request{Shard: 1, Plan: 1})
+			r.end(id, 0, Served)
+			if beyond {
+				r.d.vols["v"].reserve = -20
+			}
+			id, acts := r.ask(Request{Shard: 0, Plan: 1})
+			want(t, fmt.Sprint("beyond the reserve: ", beyond), acts, id, map[bool]string{false: "sent", true: "refused"}[beyond])
+		}
+	})
 	t.Run("one unit for each of many peers", func(t *testing.T) {
 		cfg := testConfig()
 		cfg.Peers = 200 // above YoungLimit
