--- a/choice/choice.go
+++ b/choice/choice.go
@@ -264,7 +264,7 @@
 	}
 	floor := depthMin
 	if d.lost < lossy { // else what is out may hold a place that the node has free
-		floor = min(depthMin, max(1, depthMax/d.cfg.Peers)+n.easy/2) // four each from many flood it
+		floor = min(depthMin, max(1, depthMax/d.cfg.Peers)+min(n.easy/2, 1)) // four each from many flood it
 	}
 	deep := min(max(float64(floor), math.Ceil(n.done.rate(d.now, rateSpan)*d.tightest.Seconds())), depthMax)
 	// Crowding: four for each of many dispatchers may be more than the node
@@ -717,7 +717,10 @@
 		if n.State != Serving || d.now < n.until {
 			continue
 		}
-		each := max((d.delay(n) + n.service(r.Units)).Seconds(), 1e-3)
+		each := (d.delay(n) + n.service(r.Units)).Seconds()
+		if n.base == 0 { // never heard: no reason to think it free
+			each += crowded * d.tightest.Seconds()
+		}
 		cost := each * (1 + float64(n.out+n.held)/float64(d.depth(n)))
 		cost += max(0, (d.coldAt(n, 0) - d.now).Seconds())
 		if cost *= 1 + 0.1*d.rng.Float64(); cost < bestCost {
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -218,6 +218,35 @@
 	}
 }
 
+// With many dispatchers D starts at one: four each would flood a node before any of them
+// sees it. A calm node gets one more, until an answer is crowded.
+func TestFloorOfDepthAmongMany(t *testing.T) {
+	for peers, floor := range map[int]int{1: 4, 8: 4, 10: 3, 40: 1, 200: 1} {
+		cfg := testConfig()
+		cfg.Peers = peers
+		r := newRig(t, cfg)
+		n := r.d.nodes["n0"]
+		if got := r.d.depth(n); got != floor {
+			t.Errorf("%d dispatchers: D %d, want %d", peers, got, floor)
+		}
+		answer := func(took time.Duration) {
+			id, _ := r.ask(Request{Shard: 0, Plan: 1})
+			r.now += took
+			r.do(Outcome{ID: id, Status: Served, Concluded: true, Took: took})
+			r.at(10 * time.Second)
+		}
+		answer(5 * ms)
+		answer(5 * ms)
+		if got, calm := r.d.depth(n), min(4, floor+1); got != calm {
+			t.Errorf("%d dispatchers, calm node: D %d, want %d", peers, got, calm)
+		}
+		answer(150 * ms)
+		if got := r.d.depth(n); got != floor {
+			t.Errorf("%d dispatchers, after a crowded answer: D %d, want %d", peers, got, floor)
+		}
+	}
+}
+
 func TestRuleCold(t *testing.T) {
 	sentOver := func(r *rig, length time.Duration) (sent float64) {
 		for end := r.now + length; r.now < end; {
