--- a/choice/choice.go
+++ b/choice/choice.go
@@ -402,9 +402,6 @@
 	case Full, TimedOut, ConnectFailed, Dropped:
 		n.bad++
 		n.easy = 0
-		if e.Status == Full { // a full queue is worth an aim of delay at least
-			n.lat, n.latAt = max(d.delay(n), d.tightest).Seconds(), d.now
-		}
 		if e.Status == TimedOut {
 			n.missing++
 			n.missedAt = max(n.missedAt, r.sentAt)
