--- a/choice/random_test.go
+++ b/choice/random_test.go
@@ -120,7 +120,8 @@
 		st, took = TimedOut, left
 	}
 	s.later(took, i, Outcome{ID: a.ID, Attempt: no, Node: a.Node, Status: st, Concluded: st == Served, Took: took,
-		Use: float64(s.rng.IntN(400)), Elsewhere: float64(s.rng.IntN(3))}, nil)
+		Use: float64(s.rng.IntN(400)), Elsewhere: float64(s.rng.IntN(3)),
+		Report: Report{"inflight": float64(s.rng.IntN(60) - 2)}}, nil) // as good as seconds late
 }
 
 func (s *storm) request(i int) {
