--- a/choice/choice.go
+++ b/choice/choice.go
@@ -528,7 +528,9 @@
 // share of capacity that the node has for sure by its age, and times the rule's multiple;
 // half, as the machine may be slower than its predecessor. Half of the even part of what is
 // always borne comes on top, for who has no history. Units enter whole and are paid off
-// after; a first debt of random size keeps many from entering their first at once.
+// after, with at most a usual request's allowance in hand; a first debt of random size
+// keeps many from entering their first at once. So a span sees the parts, and by chance a
+// request more from a few: the other half of the bound is for these.
 func (d *Dispatcher) coldAt(n *node, ahead float64) time.Duration {
 	c := d.cfg.Cold
 	age := d.now - n.Started
