--- a/choice/choice.go
+++ b/choice/choice.go
@@ -356,8 +356,10 @@
 	}
 	part *= 0.5 + 0.5*r.class.Worth*v.plan.Price/max(d.bestValue, 1e-9)
 	delay, cold := d.delay(n), max(0, d.coldAt(n, ahead)-d.now)
-	need := delay + max(d.wait(r, n)+max(0, n.until-d.now), lim, cold)
-	room := min(time.Duration(float64(d.tightest)*part), r.aimAt-d.now-n.service(r.Units))
+	wait, left := d.wait(r, n), r.aimAt-d.now-n.service(r.Units)
+	inAims := time.Duration(float64(wait) * float64(d.tightest) / float64(r.class.Aim)) // bars no other
+	need := delay + max(inAims+max(0, n.until-d.now), lim, cold)
+	room := min(time.Duration(float64(d.tightest)*part), left-wait+inAims)
 	if need > room && !(d.idle(n) && d.now >= n.until && lim == 0 && cold == 0) {
 		d.refuse(r, need-room)
 		return
