--- a/choice/odd_test.go
+++ b/choice/odd_test.go
@@ -74,6 +74,28 @@
 	})
 }
 
+// A run of requests with a long aim waits in its own line, also where D is one: it bars no
+// other volume. One with the tightest aim is refused.
+func TestRunWithALongAimWaits(t *testing.T) {
+	cfg := testConfig()
+	cfg.Peers = 40
+	cfg.Classes = append(cfg.Classes, Class{Name: "scan", Aim: 2 * time.Second, Deadline: 4 * time.Second, Worth: 2})
+	for class, held := range map[int]bool{3: true, 0: false} {
+		r := newRig(t, cfg)
+		id, _ := r.ask(Request{Shard: 0, Plan: 1, Volume: "w"})
+		r.now += 40 * ms
+		r.do(Outcome{ID: id, Status: Served, Concluded: true, Took: 40 * ms})
+		kinds := ""
+		for range 4 {
+			id, acts := r.ask(Request{Shard: 0, Plan: 1, Class: class, Units: 2})
+			kinds += kindOf(acts, id) + " "
+		}
+		if want := "sent held held held "; (kinds == want) != held {
+			t.Errorf("class %d: %s", class, kinds)
+		}
+	}
+}
+
 // The cost of a decision by backlog and by number of nodes: at most a logarithm of the one,
 // nothing of the other.
 func BenchmarkDecision(b *testing.B) {
