--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,9 +47,9 @@
 	delayHalf              = 3.0 // tightest aims
 	baseQuantile, baseGain = 0.3, 0.1
 
-	lostGain = 1.0 / 8
-	lossy    = 0.08 // share of answers lost from which attempts are given up early
-	patient  = 4.0  // times its uncrowded time that an attempt may take before it counts as lost
+	lostGain = 1.0 / 8 // of one answer in the share of lost ones
+	lossy    = 0.08    // share of answers lost from which attempts are given up early
+	patient  = 4.0     // times its uncrowded time that an attempt may take before it counts as lost
 
 	// Health: so many bad ends in a row, no answer between, make a node suspect.
 	suspectAfter     = 3
@@ -267,9 +267,8 @@
 		floor = min(depthMin, max(1, depthMax/d.cfg.Peers)+min(n.easy/2, 1)) // four each from many flood it
 	}
 	deep := min(max(float64(floor), math.Ceil(n.done.rate(d.now, rateSpan)*d.tightest.Seconds())), depthMax)
-	// Crowding: four for each of many dispatchers may be more than the node
-	// serves within the tightest aim. The delay tells, whoever fills it.
-	if l, most := d.delay(n).Seconds(), crowded*d.tightest.Seconds(); l > most {
+	// Crowding: the delay tells when the node is sent too much, whoever sends it.
+	if l, most := d.delay(n).Seconds(), d.crowding(); l > most {
 		deep = max(1, deep*most/l)
 	}
 	return int(deep)
@@ -293,9 +292,13 @@
 }
 
 // service is what so many units take at n when it is not crowded.
-func (n *node) service(units float64) time.Duration {
-	return seconds(n.base * units)
-}
+func (n *node) service(units float64) time.Duration { return seconds(n.base * units) }
+
+// crowding is the delay, in seconds, from which a node counts as crowded.
+func (d *Dispatcher) crowding() float64 { return crowded * d.tightest.Seconds() }
+
+// usualUnits is what a request counts where nothing more is known of it.
+func (d *Dispatcher) usualUnits() float64 { return max(d.cfg.UsualUnits, 1) }
 
 // heard learns from a served answer of r: the uncrowded time of a unit is a low quantile
 // of what units took, and what it took beyond is the delay. One answer may just have been
@@ -312,13 +315,13 @@
 	}
 	over := max(0, took-n.base*r.Units)
 	if x, told := e.Report["inflight"]; told && x >= 0 && !math.IsInf(x, 1) {
-		hand := x * n.base * max(d.cfg.UsualUnits, 1)
+		hand := x * n.base * d.usualUnits()
 		over = min(max(over, hand/depthMin), hand)
 	}
 	n.lat += delayGain * (over - n.lat)
 	n.latAt = d.now
 	n.easy++
-	if over > crowded*d.tightest.Seconds() {
+	if over > d.crowding() {
 		n.easy = 0
 	}
 }
@@ -335,7 +338,7 @@
 		phi += r.vol.phi
 	}
 	ahead := min(n.heldSum, (f.units+r.Units)*phi/r.vol.phi)
-	usual := max(d.cfg.UsualUnits, 1)
+	usual := d.usualUnits()
 	each := d.delay(n) + n.service(usual)
 	return time.Duration(ahead / usual * float64(each) / float64(depth))
 }
@@ -368,10 +371,10 @@
 }
 
 // idle tells whether a request may leave against the evidence, to find out anew. Nothing
-// out from here says little where many others send: so all dispatchers together send
-// the node no more than one such request in the time that it needs for one.
+// out from here says little where many others send: each dispatcher beyond those whose
+// floors fit under D's ceiling adds the node's time for one request to the pause between.
 func (d *Dispatcher) idle(n *node) bool {
-	gap := time.Duration(max(0, d.cfg.Peers-depthMax/depthMin)) * n.service(max(d.cfg.UsualUnits, 1))
+	gap := time.Duration(max(0, d.cfg.Peers-depthMax/depthMin)) * n.service(d.usualUnits())
 	return n.out == 0 && n.held <= 1 && d.now-n.sentAt >= gap
 }
 
@@ -421,7 +424,7 @@
 // answers none so; its time-outs prove nothing.
 func (d *Dispatcher) miss(n *node, r *request, e Outcome) {
 	d.lost *= 1 - lostGain
-	if r.sentAt > n.missedAt && (e.Took-n.service(r.Units)).Seconds() < crowded*d.tightest.Seconds() {
+	if r.sentAt > n.missedAt && (e.Took-n.service(r.Units)).Seconds() < d.crowding() {
 		d.lost += (1 - d.lost) * min(1, lostGain*float64(n.missing))
 	}
 	n.missing = 0
@@ -543,7 +546,7 @@
 	even := c.YoungLimit / c.From / c.Span.Seconds() / float64(d.cfg.Peers)
 	rate := coldSafe * grown * (even + c.Multiple*d.usual(n))
 	if from := max(n.Started, d.born); n.debtAt < from { // an earlier life's debt is unknown
-		n.debt, n.debtAt = d.rng.Float64()*max(d.cfg.UsualUnits, 1), from
+		n.debt, n.debtAt = d.rng.Float64()*d.usualUnits(), from
 	}
 	n.debt = max(-d.cfg.UsualUnits, n.debt-rate*(d.now-n.debtAt).Seconds())
 	n.debtAt = d.now
@@ -577,16 +580,18 @@
 	d.act(Attempt{ID: r.ID, Node: n.ID, Until: d.patience(r, n)})
 }
 
-// patience ends an attempt in time for another one within the aim, where class, budget
-// and time allow one and the answer should have come by then: a lost answer costs one
-// time-out. At a slow node, where a repeat would add to the load, none is set.
+// patience ends an attempt in time for another one within the aim, where answers are lost
+// and this one should have come by then: a lost answer costs one time-out. With no time
+// for another it ends at the aim, to give its place free. Zero: the client's own deadline.
 func (d *Dispatcher) patience(r *request, n *node) time.Duration {
 	usual := d.delay(n) + n.service(patient*r.Units)
 	until := r.aimAt - usual
-	if d.lost >= lossy && until < d.now+usual {
+	switch {
+	case d.lost < lossy:
+		return 0
+	case until < d.now+usual:
 		return r.aimAt
-	}
-	if d.lost < lossy || n.base == 0 || r.class.Effect == Unsafe || n.bad >= suspectAfter {
+	case n.base == 0 || r.class.Effect == Unsafe || n.bad >= suspectAfter:
 		return 0
 	}
 	return until
@@ -720,7 +725,7 @@
 		}
 		each := (d.delay(n) + n.service(r.Units)).Seconds()
 		if n.base == 0 { // never heard: no reason to think it free
-			each += crowded * d.tightest.Seconds()
+			each += d.crowding()
 		}
 		cost := each * (1 + float64(n.out+n.held)/float64(d.depth(n)))
 		cost += max(0, (d.coldAt(n, 0) - d.now).Seconds())
@@ -755,7 +760,6 @@
 		t.rest = max(t.rest, d.now+d.cfg.Settle)
 	}
 	if r.state == over || e.Concluded {
-		r.state = over
 		d.finish(r)
 		return
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -65,12 +65,12 @@
 	phiSum   float64 // of flows that hold requests
 	out      int
 	outs     []*request
+	sentAt   time.Duration // of the last attempt
 	missing  int           // time-outs since an answer
-	easy     int           // answers in a row without crowding
 	missedAt time.Duration // send of the last of them
-	sentAt   time.Duration
-	done     meter   // served answers
-	lat      float64 // expected delay, seconds
+	easy     int           // answers in a row without crowding
+	done     meter         // served answers
+	lat      float64       // expected delay, seconds
 	latAt    time.Duration
 	base     float64       // uncrowded seconds of a unit
 	bad      int           // bad ends in a row
@@ -126,8 +126,8 @@
 	wakeAt    time.Duration
 	seq       uint64
 	taken     []time.Duration // of requests, within the budget's span
-	lost      float64
 	extra     []time.Duration // of further attempts
+	lost      float64         // share of answers that are lost
 	calls     int             // failed calls to discovery in a row
 	dirty     []*node
 	acts      []Action
