--- /dev/null
+++ b/exchange/api.go
@@ -0,0 +1,212 @@
+// Package exchange is the life of a request on its way to a storage node: of the
+// request, its attempts, and the connections to nodes that carry them. It asks
+// choice for every decision that choice makes and turns its word into what
+// sockets do. It is told of events and returns actions; it does no I/O, reads no
+// clock and starts no goroutine. This file is its interface.
+package exchange
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"chalkstand/choice"
+)
+
+// ConnID names a connection to a node. It is never used twice.
+type ConnID uint64
+
+// Lane is an event loop. A request and the connection that carries it share one.
+type Lane int
+
+// Config holds the settings of an exchange.
+type Config struct {
+	Choice choice.Config
+	Seed   uint64
+
+	ConnsPerNode int           // bound on connections to one node, those being opened included
+	IdleFor      time.Duration // an unused connection is closed after this
+	MaxAge       time.Duration // a connection is not used again when it is older
+	Connect      time.Duration // bound on opening a connection
+	// Margin is kept before a client's deadline for the way of the answer.
+	Margin time.Duration
+	// MaxCalls bounds the requests held and out together; beyond it a request is
+	// refused unseen.
+	MaxCalls int
+}
+
+func (c Config) check() error {
+	switch {
+	case c.ConnsPerNode < 1:
+		return errors.New("ConnsPerNode: want at least 1")
+	case c.IdleFor <= 0 || c.MaxAge <= 0 || c.Connect <= 0:
+		return errors.New("IdleFor, MaxAge, Connect: want above 0")
+	case c.MaxCalls < 1:
+		return errors.New("MaxCalls: want at least 1")
+	}
+	for i, k := range c.Choice.Classes {
+		if c.Margin < 0 || c.Margin >= k.Deadline {
+			return fmt.Errorf("Margin: want at least 0 and below Classes[%d].Deadline", i)
+		}
+	}
+	return nil
+}
+
+// Node is an entry of the node list, with where it is reached.
+type Node struct {
+	choice.Node
+	Addr string
+}
+
+// Event is something that an exchange hears.
+type Event interface{ event() }
+
+// Begin is a request for a node, to be answered once.
+type Begin struct {
+	Request choice.Request
+	Lane    Lane
+	Once    bool // its body streams through and cannot be sent a second time
+}
+
+// Gone tells that nobody waits for the request any more.
+type Gone struct{ ID choice.RequestID }
+
+// Abandon ends a request whose body proved bad or stopped coming: its client has
+// been, or is being, answered by the caller.
+type Abandon struct{ ID choice.RequestID }
+
+// Waiting tells that the request's body waits for its client, not for the node.
+type Waiting struct{ ID choice.RequestID }
+
+// BodySent tells that the whole body has gone to the node.
+type BodySent struct{ ID choice.RequestID }
+
+// Nodes is news from discovery. Entries that are removed may lack an address.
+type Nodes struct {
+	Kind  choice.ListKind
+	Nodes []Node
+}
+
+// Dialed ends a Dial.
+type Dialed struct {
+	Conn ConnID
+	OK   bool
+}
+
+// Headed tells that the head of a node's answer has been passed on to the client,
+// and that its body follows piece by piece. From here there is no other answer.
+type Headed struct {
+	Conn ConnID
+	Word Word
+}
+
+// Answered tells that a node's whole answer is there.
+type Answered struct {
+	Conn  ConnID
+	Word  Word
+	Reuse bool // the connection can carry another request
+}
+
+// Word is what a node's answer says beside its content.
+type Word struct {
+	Status    choice.Status // Served, Errored or Full
+	Use       float64
+	Elsewhere float64
+	Report    choice.Report
+}
+
+// Lost tells that a connection ended, or that what came on it was no answer.
+type Lost struct{ Conn ConnID }
+
+// Fired is a timer that the exchange has set.
+type Fired struct{}
+
+func (Begin) event()    {}
+func (Gone) event()     {}
+func (Abandon) event()  {}
+func (Waiting) event()  {}
+func (BodySent) event() {}
+func (Nodes) event()    {}
+func (Dialed) event()   {}
+func (Headed) event()   {}
+func (Answered) event() {}
+func (Lost) event()     {}
+func (Fired) event()    {}
+
+// Action is something that an exchange wants done, in the order given.
+type Action interface{ action() }
+
+// Dial opens a connection.
+type Dial struct {
+	Conn    ConnID
+	Lane    Lane
+	Node    choice.NodeID
+	Addr    string
+	Timeout time.Duration
+}
+
+// Send writes a request on a connection. Attempt counts from 0.
+type Send struct {
+	Conn    ConnID
+	Lane    Lane
+	ID      choice.RequestID
+	Node    choice.NodeID
+	Attempt int
+}
+
+// Close ends a connection. Whatever still comes on it is thrown away.
+type Close struct {
+	Conn ConnID
+	Lane Lane
+}
+
+// Deliver is a final answer: the node's own, which the caller holds.
+type Deliver struct {
+	ID   choice.RequestID
+	Lane Lane
+	Conn ConnID
+}
+
+// Drop throws away a node's answer: the request goes on.
+type Drop struct {
+	ID   choice.RequestID
+	Lane Lane
+	Conn ConnID
+}
+
+// Refuse is a final answer: trying again after After is harmless.
+type Refuse struct {
+	ID    choice.RequestID
+	Lane  Lane
+	After time.Duration
+}
+
+// Fail is a final answer that promises nothing. Late tells that time ran out.
+type Fail struct {
+	ID   choice.RequestID
+	Lane Lane
+	Late bool
+}
+
+// Cut breaks off, visibly, an answer whose head was passed on.
+type Cut struct {
+	ID   choice.RequestID
+	Lane Lane
+}
+
+// SetTimer asks for Fired at a time. A later one replaces it.
+type SetTimer struct{ At time.Duration }
+
+// Ask asks discovery for the list and its changes.
+type Ask struct{}
+
+func (Dial) action()     {}
+func (Send) action()     {}
+func (Close) action()    {}
+func (Deliver) action()  {}
+func (Drop) action()     {}
+func (Refuse) action()   {}
+func (Fail) action()     {}
+func (Cut) action()      {}
+func (SetTimer) action() {}
+func (Ask) action()      {}
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,695 @@
+package exchange
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"chalkstand/choice"
+)
+
+// Exchange is the state machine of one gateway's requests. It is not safe for
+// concurrent use.
+type Exchange struct {
+	// Trace, when set, is shown each input of the dispatcher with what it answered.
+	Trace func(now time.Duration, ev choice.Event, acts []choice.Action)
+
+	cfg    Config
+	d      *choice.Dispatcher
+	now    time.Duration
+	calls  map[choice.RequestID]*call
+	conns  map[ConnID]*conn
+	nodes  map[choice.NodeID]*node
+	order  []*node // by id
+	lastID ConnID
+	timers timers
+	seq    uint64
+	wakeAt time.Duration // what SetTimer asked for
+	choice struct {      // the dispatcher's own timer
+		at    time.Duration
+		token string
+		set   bool
+	}
+	inbox []choice.Event // for the dispatcher, in order
+	acts  []Action
+}
+
+// stage is where a call stands.
+type stage int
+
+const (
+	asked    stage = iota // with choice: held, or between attempts
+	opening               // an attempt waits for its connection
+	out                   // an attempt was sent
+	passing               // the head of its answer was passed on
+	released              // out, while choice has let go of it (a slow client)
+	done
+)
+
+type call struct {
+	req      choice.Request
+	class    *choice.Class
+	lane     Lane
+	stage    stage
+	conn     *conn
+	attempt  int           // of the present or last one
+	deadline time.Duration // of the client, less the margin
+	sentAt   time.Duration
+	bodySent bool
+	late     bool // the last attempt ended by time
+	timer    *timer
+	settled  bool // choice has given the final word
+	once     bool // its body cannot be sent twice
+}
+
+type connState int
+
+const (
+	dialing connState = iota
+	idle
+	busy
+)
+
+type conn struct {
+	id    ConnID
+	node  *node
+	lane  Lane
+	state connState
+	call  *call // that it carries or opens for
+	born  time.Duration
+	since time.Duration // idle since
+	watch bool          // a timer looks after it
+}
+
+type node struct {
+	Node
+	conns int
+	idle  []*conn // the last used at the end
+}
+
+// New checks the settings and returns an exchange that knows no node yet.
+func New(cfg Config) (*Exchange, error) {
+	if err := cfg.check(); err != nil {
+		return nil, fmt.Errorf("exchange: %w", err)
+	}
+	d, err := choice.New(cfg.Choice, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("exchange: %w", err)
+	}
+	return &Exchange{cfg: cfg, d: d, calls: map[choice.RequestID]*call{}, conns: map[ConnID]*conn{},
+		nodes: map[choice.NodeID]*node{}, wakeAt: math.MaxInt64}, nil
+}
+
+// Calls returns how many requests are held or out.
+func (x *Exchange) Calls() int { return len(x.calls) }
+
+// Conns returns how many connections to nodes there are.
+func (x *Exchange) Conns() int { return len(x.conns) }
+
+// Handle takes one event and returns what is to be done, in order. The slice is
+// the caller's until the next call.
+func (x *Exchange) Handle(now time.Duration, ev Event) []Action {
+	x.acts = x.acts[:0]
+	x.now = max(now, x.now)
+	switch e := ev.(type) {
+	case Begin:
+		x.onBegin(e)
+	case Gone:
+		x.onGone(e.ID)
+	case Abandon:
+		x.onGone(e.ID)
+	case Waiting:
+		x.onWaiting(e.ID)
+	case BodySent:
+		x.onBodySent(e.ID)
+	case Nodes:
+		x.onNodes(e)
+	case Dialed:
+		x.onDialed(e)
+	case Headed:
+		x.onHeaded(e)
+	case Answered:
+		x.onAnswered(e)
+	case Lost:
+		x.onLost(e.Conn)
+	case Fired:
+		x.wakeAt = math.MaxInt64
+	}
+	x.settle()
+	x.expire()
+	x.arm()
+	return x.acts
+}
+
+func (x *Exchange) act(a Action) { x.acts = append(x.acts, a) }
+
+// settle lets the dispatcher hear all that happened, and does what it says, which
+// may make more happen.
+func (x *Exchange) settle() {
+	for len(x.inbox) > 0 {
+		ev := x.inbox[0]
+		x.inbox = x.inbox[1:]
+		acts := x.d.Handle(x.now, ev)
+		if x.Trace != nil {
+			x.Trace(x.now, ev, acts)
+		}
+		for _, a := range acts {
+			x.follow(a)
+		}
+	}
+	x.inbox = nil
+}
+
+func (x *Exchange) tell(ev choice.Event) { x.inbox = append(x.inbox, ev) }
+
+// follow does what the dispatcher said.
+func (x *Exchange) follow(a choice.Action) {
+	switch a := a.(type) {
+	case choice.Attempt:
+		x.attempt(a)
+	case choice.Refuse:
+		if c := x.calls[a.ID]; c != nil {
+			x.answer(c, Refuse{ID: a.ID, Lane: c.lane, After: a.After})
+		}
+	case choice.Fail:
+		if c := x.calls[a.ID]; c != nil {
+			x.answer(c, Fail{ID: a.ID, Lane: c.lane, Late: c.late})
+		}
+	case choice.Cancel:
+		if c := x.calls[a.ID]; c != nil {
+			x.give(c, choice.Cancelled, Word{}, true)
+		}
+	case choice.SetTimer:
+		x.choice.at, x.choice.token, x.choice.set = a.At, a.Token, true
+	case choice.Watch:
+		if a.On {
+			x.act(Ask{})
+		}
+	}
+}
+
+// answer gives a call its final answer and forgets it. It is the only place from
+// which an answer of the gateway's own leaves.
+func (x *Exchange) answer(c *call, a Action) {
+	if c.stage == done {
+		return
+	}
+	x.detach(c)
+	x.act(a)
+	x.forget(c)
+}
+
+func (x *Exchange) forget(c *call) {
+	c.stage = done
+	x.stop(c)
+	delete(x.calls, c.req.ID)
+}
+
+// detach takes the connection from a call. One that may still bring an answer is
+// closed: its late answer must not meet another request.
+func (x *Exchange) detach(c *call) {
+	k := c.conn
+	if k == nil {
+		return
+	}
+	c.conn, k.call = nil, nil
+	if k.state == busy {
+		x.close(k)
+	}
+}
+
+func (x *Exchange) close(k *conn) {
+	if x.conns[k.id] != k {
+		return
+	}
+	x.act(Close{Conn: k.id, Lane: k.lane})
+	x.unlist(k)
+}
+
+// unlist forgets a connection.
+func (x *Exchange) unlist(k *conn) {
+	if x.conns[k.id] != k {
+		return
+	}
+	delete(x.conns, k.id)
+	k.node.conns--
+	if i := slices.Index(k.node.idle, k); i >= 0 {
+		k.node.idle = slices.Delete(k.node.idle, i, i+1)
+	}
+}
+
+// ---- Calls.
+
+func (x *Exchange) onBegin(e Begin) {
+	if x.calls[e.Request.ID] != nil {
+		return // told twice
+	}
+	if len(x.calls) >= x.cfg.MaxCalls || e.Request.Class < 0 || e.Request.Class >= len(x.cfg.Choice.Classes) {
+		x.act(Refuse{ID: e.Request.ID, Lane: e.Lane, After: x.cfg.Choice.MaxRetryAfter})
+		return
+	}
+	class := &x.cfg.Choice.Classes[e.Request.Class]
+	c := &call{req: e.Request, class: class, lane: e.Lane, attempt: -1, once: e.Once,
+		deadline: x.now + e.Request.Left - x.cfg.Margin}
+	x.calls[c.req.ID] = c
+	x.tell(e.Request)
+}
+
+// attempt starts an attempt that choice decided. The guard of drains: choice sends
+// nothing to a node that it was told drains, and what it decided just before is
+// stopped again where the connection is ready (ready, below).
+func (x *Exchange) attempt(a choice.Attempt) {
+	c := x.calls[a.ID]
+	if c == nil || c.stage != asked { // cannot happen; choice must not wait for its end
+		x.tell(choice.Outcome{ID: a.ID, Node: a.Node, Status: choice.Moot})
+		return
+	}
+	c.attempt++
+	c.stage, c.bodySent, c.late = opening, false, false
+	c.sentAt = x.now
+	until := c.deadline
+	if a.Until > 0 {
+		until = min(until, a.Until)
+	}
+	x.callTimer(c, until)
+	n := x.nodes[a.Node]
+	if n == nil || n.State != choice.Serving {
+		x.end(c, choice.Moot, Word{})
+		return
+	}
+	if k := x.take(n, c.lane); k != nil {
+		x.carry(k, c)
+		return
+	}
+	k := x.open(n, c.lane)
+	if k == nil {
+		x.end(c, choice.ConnectFailed, Word{})
+		return
+	}
+	c.conn, k.call = k, c
+}
+
+// end tells choice how an attempt ended without an answer for the client. A body
+// that cannot be sent twice bars a further attempt, of which choice knows nothing:
+// the answer is given here, a refusal only where the node took nothing in.
+func (x *Exchange) end(c *call, s choice.Status, w Word) {
+	c.late = s == choice.TimedOut
+	if c.once && c.stage == out {
+		x.give(c, s, w, true)
+		if s == choice.Full {
+			x.answer(c, Refuse{ID: c.req.ID, Lane: c.lane, After: x.cfg.Choice.MaxRetryAfter})
+		} else {
+			x.answer(c, Fail{ID: c.req.ID, Lane: c.lane, Late: c.late})
+		}
+		return
+	}
+	c.stage = asked
+	x.give(c, s, w, false)
+}
+
+// give tells choice of an attempt's end, once.
+func (x *Exchange) give(c *call, s choice.Status, w Word, concluded bool) {
+	if c.settled {
+		return
+	}
+	c.settled = concluded
+	id := choice.NodeID("")
+	if c.conn != nil {
+		id = c.conn.node.ID
+	}
+	x.tell(choice.Outcome{ID: c.req.ID, Attempt: c.attempt, Node: id, Status: s, Concluded: concluded,
+		Took: x.now - c.sentAt, Use: w.Use, Elsewhere: w.Elsewhere, Report: w.Report})
+}
+
+// onGone ends a call that nobody waits for. An attempt that is out ends with it;
+// its connection is closed, so that it carries nothing else.
+func (x *Exchange) onGone(id choice.RequestID) {
+	c := x.calls[id]
+	if c == nil {
+		return
+	}
+	switch c.stage {
+	case asked:
+		x.tell(choice.Gone{ID: id})
+	case opening: // never sent
+		x.tell(choice.Gone{ID: id})
+		x.give(c, choice.Moot, Word{}, true)
+	case out:
+		x.tell(choice.Gone{ID: id})
+		x.give(c, choice.Cancelled, Word{}, true)
+	}
+	x.detach(c)
+	x.forget(c)
+}
+
+// onWaiting lets choice go on without a call whose client keeps its node waiting:
+// the node's silence is not the node's, and must not count as delay there. A key
+// in turn stays taken. It may do harm where a client's stalls hide a slow node;
+// that node then shows in its other answers.
+func (x *Exchange) onWaiting(id choice.RequestID) {
+	c := x.calls[id]
+	if c == nil || c.stage != out || c.bodySent || c.class.InTurn && c.req.Key != "" {
+		return
+	}
+	x.give(c, choice.Cancelled, Word{}, true)
+	c.stage = released
+	x.stop(c)
+}
+
+// onBodySent starts the node's own time for a call that choice has let go.
+func (x *Exchange) onBodySent(id choice.RequestID) {
+	if c := x.calls[id]; c != nil {
+		c.bodySent = true
+		if c.stage == released {
+			x.callTimer(c, x.now+c.class.Deadline)
+		}
+	}
+}
+
+// ---- Connections to nodes.
+
+// take finds a connection that is ready on the lane, the last used first: the
+// others grow old and are closed.
+func (x *Exchange) take(n *node, lane Lane) *conn {
+	for i := len(n.idle) - 1; i >= 0; i-- {
+		k := n.idle[i]
+		if k.lane != lane {
+			continue
+		}
+		if x.now-k.born >= x.cfg.MaxAge || x.now-k.since >= x.cfg.IdleFor {
+			x.close(k)
+			continue
+		}
+		n.idle = slices.Delete(n.idle, i, i+1)
+		return k
+	}
+	return nil
+}
+
+// open starts a connection, in the place of an unused one of another lane where
+// the bound is reached. nil: all are in use.
+func (x *Exchange) open(n *node, lane Lane) *conn {
+	if n.conns >= x.cfg.ConnsPerNode {
+		if len(n.idle) == 0 {
+			return nil
+		}
+		x.close(n.idle[0])
+	}
+	x.lastID++
+	k := &conn{id: x.lastID, node: n, lane: lane, born: x.now}
+	x.conns[k.id] = k
+	n.conns++
+	x.act(Dial{Conn: k.id, Lane: lane, Node: n.ID, Addr: n.Addr, Timeout: x.cfg.Connect})
+	return k
+}
+
+// carry sends a call on a connection. It is the only place from which a request
+// leaves for a node.
+func (x *Exchange) carry(k *conn, c *call) {
+	k.state, k.call, c.conn, c.stage = busy, c, k, out
+	x.act(Send{Conn: k.id, Lane: k.lane, ID: c.req.ID, Node: k.node.ID, Attempt: c.attempt})
+}
+
+func (x *Exchange) onDialed(e Dialed) {
+	k := x.conns[e.Conn]
+	if k == nil || k.state != dialing {
+		if e.OK {
+			x.act(Close{Conn: e.Conn}) // given up meanwhile
+		}
+		return
+	}
+	c := k.call
+	if !e.OK {
+		k.call = nil
+		x.unlist(k)
+		if c != nil {
+			x.end(c, choice.ConnectFailed, Word{})
+			c.conn = nil
+		}
+		return
+	}
+	switch n := k.node; {
+	case c == nil:
+		x.rest(k)
+	case n.State != choice.Serving:
+		// The guard of drains, for what was decided before the drain was told: it has
+		// not been sent, and choice places it anew.
+		k.call, c.conn = nil, nil
+		x.close(k)
+		x.end(c, choice.Moot, Word{})
+	default:
+		x.carry(k, c)
+	}
+}
+
+// rest puts a connection back for another request, where it may carry one.
+func (x *Exchange) rest(k *conn) {
+	if k.node.State != choice.Serving || x.now-k.born >= x.cfg.MaxAge || x.conns[k.id] == nil {
+		x.close(k)
+		return
+	}
+	k.state, k.call, k.since = idle, nil, x.now
+	k.node.idle = append(k.node.idle, k)
+	if !k.watch {
+		k.watch = true
+		x.at(x.now+x.cfg.IdleFor, &timer{conn: k})
+	}
+}
+
+// onHeaded notes that the client's answer has begun: it is the final one, whatever
+// becomes of the rest.
+func (x *Exchange) onHeaded(e Headed) {
+	k := x.conns[e.Conn]
+	if k == nil || k.call == nil || k.call.stage != out && k.call.stage != released {
+		return
+	}
+	x.give(k.call, choice.Served, e.Word, true)
+	k.call.stage = passing
+	x.stop(k.call)
+}
+
+func (x *Exchange) onAnswered(e Answered) {
+	k := x.conns[e.Conn]
+	if k == nil || k.state != busy {
+		return
+	}
+	c := k.call
+	if c == nil { // cannot happen: a connection without its call is closed
+		x.close(k)
+		return
+	}
+	switch {
+	case c.stage == passing:
+		x.act(Deliver{ID: c.req.ID, Lane: c.lane, Conn: k.id})
+		x.forget(c)
+	case c.stage == released && e.Word.Status != choice.Served:
+		x.act(Drop{ID: c.req.ID, Lane: c.lane, Conn: k.id})
+		x.act(Fail{ID: c.req.ID, Lane: c.lane})
+		x.forget(c)
+	case e.Word.Status == choice.Served:
+		x.give(c, choice.Served, e.Word, true)
+		x.act(Deliver{ID: c.req.ID, Lane: c.lane, Conn: k.id})
+		x.forget(c)
+	default:
+		x.act(Drop{ID: c.req.ID, Lane: c.lane, Conn: k.id})
+		x.end(c, e.Word.Status, e.Word)
+	}
+	c.conn, k.call = nil, nil
+	if x.conns[k.id] != k {
+		return // closed with a call that cannot be sent again
+	}
+	if e.Reuse {
+		x.rest(k)
+	} else {
+		x.close(k)
+	}
+}
+
+func (x *Exchange) onLost(id ConnID) {
+	k := x.conns[id]
+	if k == nil {
+		return
+	}
+	x.unlist(k)
+	c := k.call
+	if c == nil {
+		return
+	}
+	k.call, c.conn = nil, nil
+	switch c.stage {
+	case opening:
+		x.end(c, choice.ConnectFailed, Word{})
+	case out:
+		x.end(c, choice.Dropped, Word{})
+	case passing:
+		x.act(Cut{ID: c.req.ID, Lane: c.lane})
+		x.forget(c)
+	case released:
+		x.act(Fail{ID: c.req.ID, Lane: c.lane})
+		x.forget(c)
+	}
+}
+
+// ---- The node list.
+
+func (x *Exchange) onNodes(e Nodes) {
+	list := choice.NodeList{Kind: e.Kind}
+	if e.Kind == choice.Complete || e.Kind == choice.Persisted {
+		for _, n := range x.order {
+			n.State = choice.Removed
+		}
+	}
+	for _, l := range e.Nodes {
+		n := x.nodes[l.ID]
+		if n == nil {
+			n = &node{}
+			x.nodes[l.ID] = n
+			x.order = append(x.order, n)
+		}
+		if l.Addr == "" {
+			l.Addr = n.Addr
+		}
+		if n.Addr != l.Addr || n.Started != l.Started { // another process: its connections are not this one's
+			x.clear(n)
+		}
+		n.Node = l
+		list.Nodes = append(list.Nodes, l.Node)
+	}
+	slices.SortFunc(x.order, func(a, b *node) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	x.order = slices.DeleteFunc(x.order, func(n *node) bool {
+		if n.State != choice.Serving {
+			x.clear(n)
+		}
+		gone := n.State == choice.Removed && n.conns == 0
+		if gone {
+			delete(x.nodes, n.ID)
+		}
+		return gone
+	})
+	x.tell(list)
+}
+
+// clear closes a node's unused connections.
+func (x *Exchange) clear(n *node) {
+	for len(n.idle) > 0 {
+		x.close(n.idle[len(n.idle)-1])
+	}
+}
+
+// ---- Time.
+
+type timer struct {
+	at   time.Duration
+	seq  uint64
+	pos  int
+	call *call
+	conn *conn
+}
+
+type timers []*timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i]; t[i].pos = i; t[j].pos = j }
+func (t *timers) Push(v any)   { m := v.(*timer); m.pos = len(*t); *t = append(*t, m) }
+func (t *timers) Pop() any {
+	old := *t
+	v := old[len(old)-1]
+	old[len(old)-1] = nil
+	*t = old[:len(old)-1]
+	return v
+}
+
+func (x *Exchange) at(when time.Duration, t *timer) *timer {
+	x.seq++
+	t.at, t.seq = when, x.seq
+	heap.Push(&x.timers, t)
+	return t
+}
+
+// callTimer sets when the present attempt is given up.
+func (x *Exchange) callTimer(c *call, when time.Duration) {
+	x.stop(c)
+	c.timer = x.at(when, &timer{call: c})
+}
+
+// stop takes a call's timer away.
+func (x *Exchange) stop(c *call) {
+	if c.timer != nil {
+		heap.Remove(&x.timers, c.timer.pos)
+		c.timer = nil
+	}
+}
+
+// expire handles what is due.
+func (x *Exchange) expire() {
+	for {
+		switch {
+		case x.choice.set && x.choice.at <= x.now:
+			x.choice.set = false
+			x.tell(choice.Fired{Token: x.choice.token})
+		case len(x.timers) > 0 && x.timers[0].at <= x.now:
+			t := heap.Pop(&x.timers).(*timer)
+			if t.call != nil {
+				t.call.timer = nil
+				x.expireCall(t.call)
+			} else {
+				x.expireConn(t.conn)
+			}
+		default:
+			return
+		}
+		x.settle()
+	}
+}
+
+// expireConn closes a connection that has not been used for long, or looks again
+// when it may have been.
+func (x *Exchange) expireConn(k *conn) {
+	k.watch = false
+	switch {
+	case x.conns[k.id] != k || k.state != idle:
+	case x.now-k.since >= x.cfg.IdleFor:
+		x.close(k)
+	default:
+		k.watch = true
+		x.at(k.since+x.cfg.IdleFor, &timer{conn: k})
+	}
+}
+
+func (x *Exchange) expireCall(c *call) {
+	switch c.stage {
+	case opening: // never sent: the connection may come yet, for another
+		k := c.conn
+		x.end(c, choice.ConnectFailed, Word{})
+		c.conn, k.call = nil, nil
+	case out:
+		k := c.conn
+		x.end(c, choice.TimedOut, Word{})
+		if c.conn == k {
+			x.detach(c)
+		}
+	case released:
+		x.answer(c, Fail{ID: c.req.ID, Lane: c.lane, Late: true})
+	}
+}
+
+// arm asks for the next Fired, where it is earlier than what was asked for.
+func (x *Exchange) arm() {
+	next := time.Duration(math.MaxInt64)
+	if len(x.timers) > 0 {
+		next = x.timers[0].at
+	}
+	if x.choice.set {
+		next = min(next, x.choice.at)
+	}
+	if next < x.wakeAt {
+		x.wakeAt = next
+		x.act(SetTimer{At: next})
+	}
+}
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,402 @@
+package exchange
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chalkstand/choice"
+)
+
+func settings() Config {
+	return Config{Seed: 1, ConnsPerNode: 4, IdleFor: 2 * time.Second, MaxAge: 20 * time.Second,
+		Connect: 200 * time.Millisecond, Margin: 5 * time.Millisecond, MaxCalls: 64,
+		Choice: choice.Config{Me: 0, Peers: 1, Cancel: true, MaxRetryAfter: time.Second, MaxAttempts: 3,
+			UsualUnits: 1, LargestUnits: 8, Settle: 50 * time.Millisecond, Round: time.Millisecond,
+			Budget: choice.BudgetRule{Free: 3, Ratio: 0.2, Span: 5 * time.Second},
+			Classes: []choice.Class{
+				{Name: "read", Aim: 200 * time.Millisecond, Deadline: time.Second, Worth: 2},
+				{Name: "write", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Worth: 2, Effect: choice.Keyed,
+					Group: choice.GroupShard, Window: 2 * time.Second, InTurn: true},
+				{Name: "unsafe", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: choice.Unsafe},
+			},
+			Plans: []choice.Plan{{Name: "p", Reserve: 1000, Weight: 1, Price: 1}}}}
+}
+
+// rig plays the world around an exchange and checks what it does.
+type rig struct {
+	t      *testing.T
+	x      *Exchange
+	now    time.Duration
+	conns  map[ConnID]*rigConn
+	state  map[choice.NodeID]choice.NodeState
+	calls  map[choice.RequestID]*rigCall
+	wake   time.Duration
+	opened int
+	perNod map[choice.NodeID]int
+	limit  int
+}
+
+type rigConn struct {
+	id   ConnID
+	node choice.NodeID
+	open bool // dialled
+	call *rigCall
+}
+
+type rigCall struct {
+	id      choice.RequestID
+	on      ConnID
+	out     bool
+	sends   int
+	answers int
+	gone    bool
+	headed  bool
+	once    bool
+	due     time.Duration
+	last    Action
+}
+
+func newRig(t *testing.T, cfg Config) *rig {
+	x, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &rig{t: t, x: x, conns: map[ConnID]*rigConn{}, state: map[choice.NodeID]choice.NodeState{},
+		calls: map[choice.RequestID]*rigCall{}, wake: 1 << 62, perNod: map[choice.NodeID]int{}, limit: cfg.ConnsPerNode}
+}
+
+// tell hands over an event and follows the actions, checking each.
+func (r *rig) tell(ev Event) []Action {
+	acts := append([]Action(nil), r.x.Handle(r.now, ev)...)
+	for _, a := range acts {
+		r.follow(a)
+	}
+	return acts
+}
+
+func (r *rig) follow(a Action) {
+	final := func(id choice.RequestID) {
+		c := r.calls[id]
+		if c.answers++; c.answers > 1 || c.gone {
+			r.t.Fatalf("%v: request %d has %d answers, gone %v", a, id, c.answers, c.gone)
+		}
+		if r.now > c.due && !c.headed && !c.once {
+			r.t.Fatalf("request %d answered at %v, due %v", id, r.now, c.due)
+		}
+		c.last = a
+	}
+	switch a := a.(type) {
+	case Dial:
+		r.conns[a.Conn] = &rigConn{id: a.Conn, node: a.Node}
+		if r.perNod[a.Node]++; r.perNod[a.Node] > r.limit {
+			r.t.Fatalf("%d connections to %s", r.perNod[a.Node], a.Node)
+		}
+	case Send:
+		k, c := r.conns[a.Conn], r.calls[a.ID]
+		switch {
+		case k == nil || !k.open || k.call != nil:
+			r.t.Fatalf("%+v on a connection that cannot carry it", a)
+		case c.out:
+			r.t.Fatalf("request %d: a second attempt while one is out", a.ID)
+		case c.answers > 0 || c.gone:
+			r.t.Fatalf("request %d sent after its end", a.ID)
+		case r.state[k.node] != choice.Serving:
+			r.t.Fatalf("request %d sent to %s, which drains", a.ID, k.node)
+		case c.once && c.sends > 0:
+			r.t.Fatalf("request %d, whose body is gone, sent twice", a.ID)
+		}
+		k.call, c.out, c.on = c, true, a.Conn
+		c.sends++
+	case Close:
+		if k := r.conns[a.Conn]; k != nil {
+			r.drop(k)
+		}
+	case Deliver:
+		final(a.ID)
+		r.free(a.Conn)
+	case Drop:
+		r.free(a.Conn)
+	case Refuse:
+		if final(a.ID); a.After <= 0 {
+			r.t.Fatalf("%+v: no time to come back", a)
+		}
+	case Fail:
+		final(a.ID)
+	case Cut:
+		c := r.calls[a.ID]
+		if !c.headed {
+			r.t.Fatalf("request %d cut before its answer began", a.ID)
+		}
+		c.answers++
+	case SetTimer:
+		r.wake = a.At
+	}
+}
+
+func (r *rig) free(id ConnID) {
+	if k := r.conns[id]; k != nil && k.call != nil {
+		k.call.out, k.call = false, nil
+	}
+}
+
+func (r *rig) drop(k *rigConn) {
+	r.free(k.id)
+	delete(r.conns, k.id)
+	r.perNod[k.node]--
+}
+
+func (r *rig) node(id string, shard int, s choice.NodeState) {
+	r.state[choice.NodeID(id)] = s
+	r.tell(Nodes{Kind: choice.Changes, Nodes: []Node{{Addr: id, Node: choice.Node{ID: choice.NodeID(id), Shard: choice.Shard(shard), State: s}}}})
+}
+
+func (r *rig) begin(id int, class, shard int, key string, once bool) *rigCall {
+	left := r.x.cfg.Choice.Classes[class].Deadline
+	c := &rigCall{id: choice.RequestID(id), due: r.now + left, once: once}
+	r.calls[c.id] = c
+	r.tell(Begin{Once: once, Request: choice.Request{ID: c.id, Class: class, Volume: "v", Key: key,
+		Shard: choice.Shard(shard), Units: 1, Hosts: 1, Left: left}})
+	return c
+}
+
+// wait moves time on, firing timers.
+func (r *rig) wait(d time.Duration) {
+	end := r.now + d
+	for r.wake <= end {
+		r.now, r.wake = max(r.wake, r.now), 1<<62
+		r.tell(Fired{})
+	}
+	r.now = end
+}
+
+func (r *rig) dialed(ok bool) ConnID {
+	for id, k := range r.conns {
+		if !k.open {
+			if k.open = ok; !ok {
+				r.drop(k)
+			}
+			r.tell(Dialed{Conn: id, OK: ok})
+			return id
+		}
+	}
+	r.t.Fatal("nothing is being opened")
+	return 0
+}
+
+func served() Word { return Word{Status: choice.Served} }
+
+func TestServedOverAConnectionUsedTwice(t *testing.T) {
+	r := newRig(t, settings())
+	r.node("a", 0, choice.Serving)
+	for i := 1; i <= 3; i++ {
+		c := r.begin(i, 0, 0, "", false)
+		if i == 1 {
+			r.dialed(true)
+		}
+		r.now += time.Millisecond
+		r.tell(Answered{Conn: c.on, Word: served(), Reuse: true})
+		if c.answers != 1 || c.sends != 1 {
+			t.Fatalf("request %d: %+v", i, c)
+		}
+	}
+	if r.x.Conns() != 1 || r.x.Calls() != 0 {
+		t.Fatalf("%d connections, %d calls", r.x.Conns(), r.x.Calls())
+	}
+	r.wait(3 * time.Second)
+	if r.x.Conns() != 0 {
+		t.Fatal("an unused connection stays open")
+	}
+}
+
+// A read whose node stalls is given up at its deadline, on a closed connection,
+// and the answer that comes after is nobody's.
+func TestLateAnswerIsThrownAway(t *testing.T) {
+	r := newRig(t, settings())
+	r.node("a", 0, choice.Serving)
+	c := r.begin(1, 0, 0, "", false)
+	k := r.dialed(true)
+	r.wait(995 * time.Millisecond)
+	if c.answers != 1 || r.conns[k] != nil {
+		t.Fatalf("answers %d, connection open: %v", c.answers, r.conns[k] != nil)
+	}
+	if acts := r.tell(Answered{Conn: k, Word: served(), Reuse: true}); len(acts) > 0 {
+		t.Fatalf("a late answer causes %v", acts)
+	}
+}
+
+func TestDrainWhileConnecting(t *testing.T) {
+	r := newRig(t, settings())
+	r.node("a", 0, choice.Serving)
+	c := r.begin(1, 0, 0, "", false)
+	r.node("b", 0, choice.Serving)
+	r.node("a", 0, choice.Draining)
+	r.dialed(true) // to a: not to be used any more
+	if c.sends != 0 {
+		t.Fatal("sent to the draining node")
+	}
+	r.wait(50 * time.Millisecond)
+	if len(r.conns) != 1 {
+		t.Fatalf("connections: %d, want one to b", len(r.conns))
+	}
+	r.dialed(true)
+	if c.sends != 1 || r.conns[c.on].node != "b" {
+		t.Fatalf("sent %d times", c.sends)
+	}
+}
+
+func TestBodyThatIsGoneIsNotSentAgain(t *testing.T) {
+	for _, end := range []func(*rig, ConnID){
+		func(r *rig, k ConnID) { r.drop(r.conns[k]); r.tell(Lost{Conn: k}) },
+		func(r *rig, k ConnID) { r.tell(Answered{Conn: k, Word: Word{Status: choice.Errored}}) },
+		func(r *rig, k ConnID) { r.wait(2 * time.Second) },
+	} {
+		r := newRig(t, settings())
+		r.node("a", 0, choice.Serving)
+		c := r.begin(1, 1, 0, "k", true)
+		end(r, r.dialed(true))
+		if _, failed := c.last.(Fail); !failed || c.sends != 1 {
+			t.Fatalf("last %#v, sends %d", c.last, c.sends)
+		}
+	}
+	r := newRig(t, settings())
+	r.node("a", 0, choice.Serving)
+	c := r.begin(1, 1, 0, "k", true)
+	r.tell(Answered{Conn: r.dialed(true), Word: Word{Status: choice.Full}})
+	if _, refused := c.last.(Refuse); !refused || r.x.Calls() != 0 {
+		t.Fatalf("a full node: %#v", c.last)
+	}
+}
+
+// A client that keeps its node waiting is not held against the node.
+func TestSlowClientIsNotTheNodesDelay(t *testing.T) {
+	r := newRig(t, settings())
+	r.node("a", 0, choice.Serving)
+	slow := r.begin(1, 2, 0, "", true)
+	k := r.dialed(true)
+	r.tell(Waiting{ID: 1})
+	r.wait(5 * time.Second)
+	if slow.answers != 0 {
+		t.Fatal("given up on while its client sends")
+	}
+	quick := r.begin(2, 0, 0, "", false)
+	r.tell(Answered{Conn: r.dialed(true), Word: served(), Reuse: true})
+	if _, ok := quick.last.(Deliver); !ok {
+		t.Fatalf("beside a slow client: %#v", quick.last)
+	}
+	r.tell(BodySent{ID: 1})
+	r.tell(Answered{Conn: k, Word: served(), Reuse: true})
+	if _, ok := slow.last.(Deliver); !ok {
+		t.Fatalf("the slow one: %#v", slow.last)
+	}
+}
+
+func TestAnswerCutAfterItsHead(t *testing.T) {
+	r := newRig(t, settings())
+	r.node("a", 0, choice.Serving)
+	c := r.begin(1, 0, 0, "", false)
+	k := r.dialed(true)
+	c.headed = true
+	r.tell(Headed{Conn: k, Word: served()})
+	r.wait(10 * time.Second)
+	r.drop(r.conns[k])
+	acts := r.tell(Lost{Conn: k})
+	if len(acts) == 0 || acts[0] != (Cut{ID: 1}) || c.sends != 1 {
+		t.Fatalf("%v", acts)
+	}
+}
+
+// Random histories: whatever the world does, each request has one answer in time,
+// one attempt at a time, and nothing is left over.
+func TestRandomHistories(t *testing.T) {
+	for seed := range uint64(150) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { history(t, seed) })
+	}
+}
+
+func history(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	r := newRig(t, settings())
+	for i := range 4 {
+		r.node(fmt.Sprint("n", i), i%2, choice.Serving)
+	}
+	next := 0
+	pick := func(ok func(*rigConn) bool) *rigConn {
+		for id := ConnID(1); id <= r.x.lastID; id++ { // in order: the same history every time
+			if k := r.conns[id]; k != nil && ok(k) && rng.IntN(3) == 0 {
+				return k
+			}
+		}
+		return nil
+	}
+	for range 600 {
+		switch rng.IntN(12) {
+		case 0, 1, 2:
+			next++
+			r.begin(next, rng.IntN(3), rng.IntN(2), fmt.Sprint(rng.IntN(3)), rng.IntN(4) == 0)
+		case 3, 4:
+			if k := pick(func(k *rigConn) bool { return !k.open }); k != nil {
+				ok := rng.IntN(5) > 0
+				if k.open = ok; !ok {
+					r.drop(k)
+				}
+				r.tell(Dialed{Conn: k.id, OK: ok})
+			}
+		case 5, 6, 7:
+			if k := pick(func(k *rigConn) bool { return k.call != nil }); k != nil {
+				s := []choice.Status{choice.Served, choice.Served, choice.Errored, choice.Full}[rng.IntN(4)]
+				if k.call.headed {
+					s = choice.Served
+				}
+				r.tell(Answered{Conn: k.id, Word: Word{Status: s}, Reuse: rng.IntN(4) > 0})
+			}
+		case 8:
+			if k := pick(func(k *rigConn) bool { return k.open }); k != nil {
+				id := k.id
+				r.drop(k)
+				r.tell(Lost{Conn: id})
+			}
+		case 9:
+			if k := pick(func(k *rigConn) bool { return k.call != nil && !k.call.headed }); k != nil {
+				switch rng.IntN(3) {
+				case 0:
+					k.call.headed = true
+					r.tell(Headed{Conn: k.id, Word: served()})
+				case 1:
+					if k.call.once {
+						r.tell(Waiting{ID: k.call.id})
+						r.tell(BodySent{ID: k.call.id})
+						k.call.due += 10 * time.Second
+					}
+				default:
+					c := k.call
+					c.gone = true
+					r.tell(Gone{ID: c.id})
+				}
+			}
+		case 10:
+			id := fmt.Sprint("n", rng.IntN(4))
+			s := choice.NodeState(rng.IntN(3))
+			r.node(id, int(id[1]-'0')%2, s)
+		default:
+			r.wait(time.Duration(rng.IntN(300)) * time.Millisecond)
+		}
+	}
+	r.wait(15 * time.Second)
+	for id := range r.x.calls {
+		if !r.calls[id].headed {
+			t.Fatalf("request %d is never answered", id)
+		}
+	}
+	for _, c := range r.calls {
+		if c.answers == 0 && !c.gone && !c.headed {
+			t.Fatalf("request %d has no answer", c.id)
+		}
+	}
+	for _, k := range r.x.conns {
+		if k.call == nil && k.state != dialing {
+			t.Fatal("an unused connection is left")
+		}
+	}
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,83 @@
+// Package placement maps objects to shards by rendezvous hashing: dispatchers
+// that share nothing agree without an index, and adding a shard moves only what
+// the new shard takes. It does no I/O and keeps no state between calls.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chalkstand/choice"
+)
+
+// Map holds the shards of one installation. Its zero value has none.
+type Map struct {
+	shards []choice.Shard
+	seeds  []uint64
+}
+
+// New returns the map over shards 0 to n-1.
+func New(n int) *Map {
+	m := &Map{shards: make([]choice.Shard, n), seeds: make([]uint64, n)}
+	for i := range n {
+		m.shards[i] = choice.Shard(i)
+		m.seeds[i] = mix(uint64(i) + 0x9e3779b97f4a7c15)
+	}
+	return m
+}
+
+// mix is the finalizer of splitmix64: every bit of x moves every bit of the result.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Volume is a volume's part of the map.
+type Volume struct {
+	hash   uint64
+	shards []choice.Shard // in ascending order
+	seeds  []uint64
+}
+
+// Volume returns the shards of a volume: spread of them, those that rank highest
+// for its name, or all with spread 0.
+func (m *Map) Volume(name string, spread int) *Volume {
+	h := xxhash.Sum64String(name)
+	if spread <= 0 || spread >= len(m.shards) {
+		return &Volume{hash: h, shards: m.shards, seeds: m.seeds}
+	}
+	rank := make([]int, len(m.shards))
+	for i := range rank {
+		rank[i] = i
+	}
+	slices.SortFunc(rank, func(a, b int) int {
+		return cmp.Or(cmp.Compare(mix(h^m.seeds[b]), mix(h^m.seeds[a])), cmp.Compare(a, b))
+	})
+	rank = rank[:spread]
+	slices.Sort(rank)
+	v := &Volume{hash: h}
+	for _, i := range rank {
+		v.shards, v.seeds = append(v.shards, m.shards[i]), append(v.seeds, m.seeds[i])
+	}
+	return v
+}
+
+// Shards returns all shards of the volume in ascending order; not to be changed.
+func (v *Volume) Shards() []choice.Shard { return v.shards }
+
+// Shard returns the shard that holds a key.
+func (v *Volume) Shard(key string) choice.Shard {
+	h := mix(v.hash ^ xxhash.Sum64String(key))
+	best, at := uint64(0), 0
+	for i, s := range v.seeds {
+		if w := mix(h ^ s); w > best || i == 0 {
+			best, at = w, i
+		}
+	}
+	return v.shards[at]
+}
