--- /dev/null
+++ b/gateway/core.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"chalkstand/exchange"
+)
+
+// core owns the exchange, and through it the dispatcher. Loops hand events to it
+// under a lock, which is held for a few microseconds (docs/design/loops.md has the
+// measurement beside a goroutine of its own); actions go to the loop that owns the
+// connection, in the order in which they were decided.
+type core struct {
+	mu    sync.Mutex
+	x     *exchange.Exchange
+	start time.Time
+	lanes []*lane
+	timer *time.Timer
+	done  chan struct{}
+	once  sync.Once
+	nonce string // begins the keys of writes: no other process's are the same
+}
+
+func newCore(x *exchange.Exchange) *core {
+	c := &core{x: x, start: time.Now(), timer: time.NewTimer(time.Hour), done: make(chan struct{}),
+		nonce: requestID(rand.Uint64())}
+	c.timer.Stop()
+	return c
+}
+
+func (c *core) now() time.Duration { return time.Since(c.start) }
+
+// run fires the exchange's timer until stop.
+func (c *core) run() {
+	for {
+		select {
+		case <-c.done:
+			return
+		case <-c.timer.C:
+			c.tell(nil, exchange.Fired{})
+		}
+	}
+}
+
+func (c *core) stop() { c.once.Do(func() { close(c.done) }) }
+
+// tell hands an event over and has the actions followed: those of the lane on
+// which the caller runs before it returns, those of others soon. from is nil off
+// the loops.
+func (c *core) tell(from *lane, ev exchange.Event) {
+	c.mu.Lock()
+	for _, a := range c.x.Handle(c.now(), ev) {
+		c.route(a)
+	}
+	for _, l := range c.lanes {
+		if l != from && len(l.acts) > 0 && !l.woken {
+			l.woken = true
+			l.loop.Do(l.follow)
+		}
+	}
+	c.mu.Unlock()
+	if from != nil {
+		from.follow()
+	}
+}
+
+// route puts an action into its lane's queue.
+func (c *core) route(a exchange.Action) {
+	var lane exchange.Lane
+	switch a := a.(type) {
+	case exchange.Dial:
+		lane = a.Lane
+	case exchange.Send:
+		lane = a.Lane
+	case exchange.Close:
+		lane = a.Lane
+	case exchange.Deliver:
+		lane = a.Lane
+	case exchange.Drop:
+		lane = a.Lane
+	case exchange.Refuse:
+		lane = a.Lane
+	case exchange.Fail:
+		lane = a.Lane
+	case exchange.Cut:
+		lane = a.Lane
+	case exchange.SetTimer:
+		c.timer.Reset(max(a.At-c.now(), 0))
+		return
+	case exchange.Ask:
+		return // lists are told here, not asked for
+	}
+	l := c.lanes[lane]
+	l.acts = append(l.acts, a)
+}
--- /dev/null
+++ b/gateway/fanout.go
@@ -0,0 +1,415 @@
+package gateway
+
+import (
+	"encoding/base64"
+	"encoding/xml"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"chalkstand/choice"
+	"chalkstand/internal/http1"
+	"chalkstand/internal/objectapi"
+)
+
+// Operations that touch several shards: each shard's part is a request of its own,
+// with its own answer; the client's answer says the whole.
+
+// part is what one shard answered.
+type part struct {
+	shard choice.Shard
+	result
+	status int
+	doc    []byte
+}
+
+// fan sends one request for each shard, a few at a time, and goes on when all have
+// their answers.
+func (t *transaction) fan(shards []choice.Shard, make func(i int, s choice.Shard) (*call, choice.Request), done func([]part)) {
+	parts := slices.Repeat([]part{{}}, len(shards))
+	next, open, inside := 0, 0, false
+	var more func()
+	more = func() {
+		if inside { // an answer that came at once: the loop below goes on
+			return
+		}
+		inside = true
+		for next < len(shards) && open < t.conn.lane.g.cfg.Limits.FanOut && !t.ended {
+			i := next
+			next, open = next+1, open+1
+			k, r := make(i, shards[i])
+			k.done = func(res result) {
+				open--
+				p := &parts[i]
+				p.shard, p.result = shards[i], res
+				if res.kind == answered {
+					p.status, p.doc = res.resp.Status, append([]byte(nil), res.body...)
+				}
+				p.resp, p.body = nil, nil
+				t.forgetCall(k)
+				more()
+			}
+			t.call(k, r)
+		}
+		inside = false
+		if open == 0 && next == len(shards) && !t.ended {
+			next++ // once
+			done(parts)
+		}
+	}
+	more()
+}
+
+func (t *transaction) forgetCall(k *call) {
+	t.calls = slices.DeleteFunc(t.calls, func(x *call) bool { return x == k })
+}
+
+// wholeParts answers for parts that are not all answered with one of the statuses, and
+// tells whether they are: part of an answer must not pass for the whole.
+func (t *transaction) wholeParts(parts []part, want ...int) bool {
+	var after time.Duration
+	worst := answered
+	late := false
+	for _, p := range parts {
+		switch p.kind {
+		case refused:
+			after = max(after, p.after)
+			if worst == answered {
+				worst = refused
+			}
+		case failed:
+			worst, late = failed, late || p.late
+		}
+	}
+	switch worst {
+	case refused:
+		t.slowDown(after)
+		return false
+	case failed:
+		t.giveUp(late)
+		return false
+	}
+	for _, p := range parts {
+		if slices.Contains(want, p.status) {
+			continue
+		}
+		if e, ok := objectapi.ParseError(p.doc); ok {
+			t.fail(e, p.status)
+		} else {
+			t.giveUp(false)
+		}
+		return false
+	}
+	return true
+}
+
+// shardCall makes a call without a body to one shard.
+func (t *transaction) shardCall(kind objectapi.Kind, method, bucket string, q objectapi.Query, s choice.Shard, body []byte) (*call, choice.Request) {
+	r := t.price(kind, t.vol, s, "", int64(len(body)))
+	b := t.nodeHead(make([]byte, 0, 512), method, bucket, "", q, r, kind.Writes(), "-"+strconv.Itoa(int(s)))
+	if method == "PUT" || method == "POST" {
+		b = http1.AppendLength(b, int64(len(body)))
+	}
+	return &call{method: method, head: b, body: body, collect: t.conn.lane.g.cfg.Limits.Document}, r
+}
+
+func (t *transaction) listBuckets() {
+	l := t.conn.lane
+	all := l.g.shards.Volume("", 0).Shards()
+	t.fan(all, func(_ int, s choice.Shard) (*call, choice.Request) {
+		return t.shardCall(objectapi.ListBuckets, "GET", "", nil, s, nil)
+	}, func(parts []part) {
+		if !t.wholeParts(parts, 200) {
+			return
+		}
+		seen := map[string]string{}
+		for _, p := range parts {
+			var r objectapi.ListAllMyBucketsResult
+			if xml.Unmarshal(p.doc, &r) != nil {
+				t.giveUp(false)
+				return
+			}
+			for _, b := range r.Buckets {
+				if when, ok := seen[b.Name]; t.key.may(b.Name) && (!ok || b.CreationDate < when) {
+					seen[b.Name] = b.CreationDate
+				}
+			}
+		}
+		res := objectapi.ListAllMyBucketsResult{Owner: objectapi.TheOwner}
+		for name, when := range seen {
+			res.Buckets = append(res.Buckets, objectapi.Bucket{Name: name, CreationDate: when})
+		}
+		slices.SortFunc(res.Buckets, func(a, b objectapi.Bucket) int { return strings.Compare(a.Name, b.Name) })
+		t.document(200, res)
+	})
+}
+
+func (t *transaction) createBucket() {
+	t.fan(t.vol.place.Shards(), func(_ int, s choice.Shard) (*call, choice.Request) {
+		return t.shardCall(objectapi.CreateBucket, "PUT", t.op.Bucket, nil, s, nil)
+	}, func(parts []part) {
+		if !t.wholeParts(parts, 200, 409) {
+			return
+		}
+		if !slices.ContainsFunc(parts, func(p part) bool { return p.status == 200 }) {
+			e := objectapi.Errorf("BucketAlreadyOwnedByYou", "Your previous request to create the named bucket succeeded and you already own it.")
+			t.fail(e, e.Status())
+			return
+		}
+		t.reply(200, http1.AppendHeader([]byte(nil), "Location", "/"+t.op.Bucket), nil)
+	})
+}
+
+// deleteBucket looks at all shards before it touches one. An object that is
+// written meanwhile keeps its shard's part; the others are made again then.
+func (t *transaction) deleteBucket() {
+	shards := t.vol.place.Shards()
+	look := objectapi.Query{{Name: "list-type", Value: "2"}, {Name: "max-keys", Value: "1"}}
+	notEmpty := objectapi.Errorf("BucketNotEmpty", "The bucket you tried to delete is not empty.")
+	remake := func(gone []choice.Shard) {
+		t.fan(gone, func(_ int, s choice.Shard) (*call, choice.Request) {
+			return t.shardCall(objectapi.CreateBucket, "PUT", t.op.Bucket, nil, s, nil)
+		}, func([]part) { t.fail(notEmpty, notEmpty.Status()) })
+	}
+	remove := func() {
+		t.fan(shards, func(_ int, s choice.Shard) (*call, choice.Request) {
+			return t.shardCall(objectapi.DeleteBucket, "DELETE", t.op.Bucket, nil, s, nil)
+		}, func(parts []part) {
+			var gone []choice.Shard
+			for _, p := range parts {
+				if p.status == 204 {
+					gone = append(gone, p.shard)
+				}
+			}
+			if len(gone) < len(parts) && slices.ContainsFunc(parts, func(p part) bool { return p.status == 409 }) {
+				remake(gone)
+				return
+			}
+			if t.wholeParts(parts, 204, 404) {
+				t.reply(204, nil, nil)
+			}
+		})
+	}
+	t.fan(shards, func(_ int, s choice.Shard) (*call, choice.Request) {
+		return t.shardCall(objectapi.ListObjectsV2, "GET", t.op.Bucket, look, s, nil)
+	}, func(parts []part) {
+		if !slices.ContainsFunc(parts, func(p part) bool { return p.status == 200 }) && !t.wholeParts(parts, 200) {
+			return
+		}
+		if !t.wholeParts(parts, 200, 404) {
+			return
+		}
+		for _, p := range parts {
+			if page, err := objectapi.ParseList(p.doc); p.status == 200 && (err != nil || len(page.Contents) > 0) {
+				t.fail(notEmpty, notEmpty.Status())
+				return
+			}
+		}
+		remove()
+	})
+}
+
+func (t *transaction) location() {
+	first := t.vol.place.Shards()[:1]
+	t.fan(first, func(_ int, s choice.Shard) (*call, choice.Request) {
+		return t.shardCall(objectapi.GetBucketLocation, "GET", t.op.Bucket, objectapi.Query{{Name: "location"}}, s, nil)
+	}, func(parts []part) {
+		if !t.wholeParts(parts, 200) {
+			return
+		}
+		var doc objectapi.LocationConstraint
+		if r := t.conn.lane.g.cfg.Region; r != "us-east-1" { // the specification has that one empty
+			doc.Location = r
+		}
+		t.document(200, doc)
+	})
+}
+
+// listObjects asks all shards of the volume for their first names and merges them.
+func (t *transaction) listObjects() {
+	in := t.op.Query
+	most := maxKeys(in.Get("max-keys"))
+	v2 := t.op.Kind == objectapi.ListObjectsV2
+	after := in.Get("marker")
+	if v2 {
+		after = in.Get("start-after")
+		if tok := in.Get("continuation-token"); tok != "" {
+			b, err := base64.URLEncoding.DecodeString(tok)
+			if err != nil {
+				e := objectapi.Errorf("InvalidArgument", "The continuation token provided is incorrect")
+				t.fail(e, e.Status())
+				return
+			}
+			after = string(b)
+		}
+	}
+	q := objectapi.Query{{Name: "encoding-type", Value: "url"}, {Name: "max-keys", Value: strconv.Itoa(most)}}
+	for _, n := range [...]string{"prefix", "delimiter"} {
+		if v := in.Get(n); v != "" {
+			q = append(q, objectapi.Param{Name: n, Value: v})
+		}
+	}
+	if v2 {
+		q = append(q, objectapi.Param{Name: "list-type", Value: "2"})
+	}
+	if name := map[bool]string{false: "marker", true: "start-after"}[v2]; after != "" {
+		q = append(q, objectapi.Param{Name: name, Value: after})
+	}
+	t.fan(t.vol.place.Shards(), func(_ int, s choice.Shard) (*call, choice.Request) {
+		return t.shardCall(t.op.Kind, "GET", t.op.Bucket, q, s, nil)
+	}, func(parts []part) {
+		if !t.wholeParts(parts, 200) {
+			return
+		}
+		pages := make([]objectapi.Page, len(parts))
+		for i, p := range parts {
+			var err error
+			if pages[i], err = objectapi.ParseList(p.doc); err != nil {
+				t.giveUp(false)
+				return
+			}
+		}
+		t.document(200, t.listDocument(objectapi.Merge(pages, after, most), most, v2))
+	})
+}
+
+func maxKeys(v string) int {
+	if n, err := strconv.Atoi(v); err == nil {
+		return min(n, 1000)
+	}
+	return 1000
+}
+
+func (t *transaction) encoder() func(string) string {
+	if t.op.Query.Get("encoding-type") == "url" {
+		return objectapi.EncodeName
+	}
+	return func(s string) string { return s }
+}
+
+func (t *transaction) listDocument(p objectapi.Page, most int, v2 bool) objectapi.ListBucketResult {
+	in, enc := t.op.Query, t.encoder()
+	res := objectapi.ListBucketResult{Name: t.op.Bucket, Prefix: enc(in.Get("prefix")), Delimiter: enc(in.Get("delimiter")),
+		MaxKeys: most, EncodingType: in.Get("encoding-type"), IsTruncated: p.Truncated && most > 0}
+	for _, c := range p.Contents {
+		c.Key = enc(c.Key)
+		if !v2 || in.Get("fetch-owner") == "true" {
+			c.Owner = &objectapi.Owner{ID: objectapi.TheOwner.ID, DisplayName: objectapi.TheOwner.DisplayName}
+		}
+		res.Contents = append(res.Contents, c)
+	}
+	for _, c := range p.Prefixes {
+		res.CommonPrefixes = append(res.CommonPrefixes, objectapi.CommonPrefix{Prefix: enc(c)})
+	}
+	if !v2 {
+		m := enc(in.Get("marker"))
+		if res.Marker = &m; res.IsTruncated {
+			res.NextMarker = enc(p.Next)
+		}
+		return res
+	}
+	n := len(p.Contents) + len(p.Prefixes)
+	res.KeyCount, res.StartAfter, res.ContinuationToken = &n, enc(in.Get("start-after")), in.Get("continuation-token")
+	if res.IsTruncated {
+		res.NextContinuationToken = base64.URLEncoding.EncodeToString([]byte(p.Next))
+	}
+	return res
+}
+
+func (t *transaction) listUploads() {
+	in, enc := t.op.Query, t.encoder()
+	most := maxKeys(in.Get("max-uploads"))
+	q := objectapi.Query{{Name: "uploads"}, {Name: "encoding-type", Value: "url"}, {Name: "max-uploads", Value: strconv.Itoa(most)}}
+	for _, n := range [...]string{"prefix", "delimiter", "key-marker", "upload-id-marker"} {
+		if v := in.Get(n); v != "" {
+			q = append(q, objectapi.Param{Name: n, Value: v})
+		}
+	}
+	t.fan(t.vol.place.Shards(), func(_ int, s choice.Shard) (*call, choice.Request) {
+		return t.shardCall(objectapi.ListMultipartUploads, "GET", t.op.Bucket, q, s, nil)
+	}, func(parts []part) {
+		if !t.wholeParts(parts, 200) {
+			return
+		}
+		lists := make([]objectapi.ListMultipartUploadsResult, len(parts))
+		for i, p := range parts {
+			var err error
+			if lists[i], err = objectapi.ParseUploads(p.doc); err != nil {
+				t.giveUp(false)
+				return
+			}
+		}
+		ups, prefixes, more := objectapi.MergeUploads(lists, most)
+		res := objectapi.ListMultipartUploadsResult{Bucket: t.op.Bucket, KeyMarker: enc(in.Get("key-marker")), UploadIdMarker: in.Get("upload-id-marker"),
+			Prefix: enc(in.Get("prefix")), Delimiter: enc(in.Get("delimiter")), EncodingType: in.Get("encoding-type"), MaxUploads: most,
+			IsTruncated: more && most > 0}
+		for _, u := range ups {
+			if res.IsTruncated {
+				res.NextKeyMarker, res.NextUploadIdMarker = enc(u.Key), u.UploadId
+			}
+			u.Key = enc(u.Key)
+			res.Upload = append(res.Upload, u)
+		}
+		for _, p := range prefixes {
+			res.CommonPrefixes = append(res.CommonPrefixes, objectapi.CommonPrefix{Prefix: enc(p)})
+			if res.IsTruncated && enc(p) > res.NextKeyMarker {
+				res.NextKeyMarker, res.NextUploadIdMarker = enc(p), ""
+			}
+		}
+		t.document(200, res)
+	})
+}
+
+// deleteObjects sends each shard its keys. A shard that cannot be had makes errors
+// of its keys, not of the whole.
+func (t *transaction) deleteObjects() {
+	req, err := objectapi.ParseDelete(t.held)
+	if err != nil {
+		t.fail(err, err.Status())
+		return
+	}
+	byShard := map[choice.Shard][]objectapi.ObjectIdentifier{}
+	var shards []choice.Shard
+	for _, o := range req.Objects {
+		s := t.vol.place.Shard(o.Key)
+		if byShard[s] == nil {
+			shards = append(shards, s)
+		}
+		byShard[s] = append(byShard[s], o)
+	}
+	t.fan(shards, func(_ int, s choice.Shard) (*call, choice.Request) {
+		doc := objectapi.Marshal(objectapi.DeleteRequest{Objects: byShard[s]})
+		return t.shardCall(objectapi.DeleteObjects, "POST", t.op.Bucket, objectapi.Query{{Name: "delete"}}, s, doc)
+	}, func(parts []part) {
+		var res objectapi.DeleteResult
+		for _, p := range parts {
+			e := objectapi.Errorf("InternalError", "We encountered an internal error; whether the object was deleted is not known.")
+			switch {
+			case p.kind == refused:
+				e = objectapi.Errorf("SlowDown", "Please reduce your request rate.")
+			case p.kind == answered && p.status == 200:
+				var r objectapi.DeleteResult
+				if xml.Unmarshal(p.doc, &r) == nil {
+					res.Deleted, res.Error = append(res.Deleted, r.Deleted...), append(res.Error, r.Error...)
+					continue
+				}
+			case p.kind == answered:
+				if pe, ok := objectapi.ParseError(p.doc); ok {
+					e = pe
+				}
+			}
+			if e.Code == "NoSuchBucket" {
+				t.fail(e, e.Status())
+				return
+			}
+			for _, o := range byShard[p.shard] {
+				res.Error = append(res.Error, objectapi.DeleteError{Key: o.Key, Code: e.Code, Message: e.Message})
+			}
+		}
+		if req.Quiet {
+			res.Deleted = nil
+		}
+		t.document(200, res)
+	})
+}
--- /dev/null
+++ b/gateway/front.go
@@ -0,0 +1,419 @@
+package gateway
+
+import (
+	"math"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"chalkstand/choice"
+	"chalkstand/internal/http1"
+	"chalkstand/internal/objectapi"
+	"chalkstand/internal/payload"
+	"chalkstand/internal/sigv4"
+	"chalkstand/placement"
+)
+
+// volume is a bucket as the settings see it.
+type volume struct {
+	name  string
+	plan  int
+	rate  float64
+	hosts int
+	place *placement.Volume
+}
+
+// maxVolumes bounds a lane's memory of volumes; it is made anew when it is full.
+const maxVolumes = 4096
+
+// volumeOf finds a bucket's volume; nil when no rule of the settings fits it.
+func (l *lane) volumeOf(bucket string) *volume {
+	if v := l.volumes[bucket]; v != nil {
+		return v
+	}
+	s := l.g.cfg
+	i := s.BucketRule(bucket)
+	if i < 0 {
+		return nil
+	}
+	if len(l.volumes) >= maxVolumes {
+		clear(l.volumes)
+	}
+	v := &volume{name: strings.Clone(bucket), plan: s.Plan(i), hosts: s.Hosts(i), place: l.g.shards.Volume(bucket, s.Buckets[i].Spread)}
+	v.rate = s.Plans[v.plan].Rate
+	l.volumes[v.name] = v
+	return v
+}
+
+// maxObject is the largest object of one PUT, by the specification.
+const maxObject = 5 << 30
+
+// handle takes a request whose head was read. Nothing reaches a node from one that
+// is not understood, not signed, or not allowed.
+func (t *transaction) handle(r *http1.Request) {
+	l := t.conn.lane
+	g := l.g
+	rawPath, _, _ := strings.Cut(string(r.Target), "?")
+	t.resource = rawPath
+	if !r.None() { // until it has come in
+		t.body = &payload.Body{}
+	}
+	op, err := objectapi.Parse(r, g.cfg.Domains)
+	if err != nil {
+		t.fail(err, err.Status())
+		return
+	}
+	t.op = op
+	auth, aerr := g.verify.Verify(g.wall(), r)
+	if aerr != nil {
+		t.fail(objectapi.Errorf(aerr.Code, aerr.Message), aerr.Status)
+		return
+	}
+	t.key = (*g.keys.Load())[auth.KeyID]
+	if err := t.allowed(); err != nil {
+		t.fail(err, err.Status())
+		return
+	}
+	if err := unsupported(r.Headers); err != nil {
+		t.fail(err, err.Status())
+		return
+	}
+	if op.Bucket != "" {
+		if t.vol = l.volumeOf(op.Bucket); t.vol == nil {
+			e := objectapi.Errorf("NoSuchBucket", "No rule of this gateway's settings fits the bucket.")
+			t.fail(e, e.Status())
+			return
+		}
+	}
+	if !op.Kind.HasBody() {
+		t.dispatch(r)
+		return
+	}
+	t.takeBody(r, auth)
+}
+
+// allowed checks the rights of the key.
+func (t *transaction) allowed() *objectapi.Error {
+	denied := objectapi.Errorf("AccessDenied", "Access Denied")
+	if t.key == nil || t.op.Kind.Writes() && !t.key.Write {
+		return denied
+	}
+	if t.op.Bucket != "" && !t.key.may(t.op.Bucket) || t.op.FromBucket != "" && !t.key.may(t.op.FromBucket) {
+		return denied
+	}
+	return nil
+}
+
+func (k *accessKey) may(bucket string) bool {
+	return slices.ContainsFunc(k.Buckets, func(p string) bool { ok, _ := path.Match(p, bucket); return ok })
+}
+
+// unsupported refuses what would change an object's meaning if it were ignored.
+func unsupported(hs http1.Headers) *objectapi.Error {
+	for _, h := range hs {
+		if len(h.Name) < 9 || !http1.EqualFold(h.Name[:6], "x-amz-") {
+			continue
+		}
+		n := strings.ToLower(string(h.Name))
+		switch {
+		case strings.HasPrefix(n, "x-amz-server-side-encryption"), strings.HasPrefix(n, "x-amz-object-lock"), n == "x-amz-tagging",
+			strings.HasPrefix(n, "x-amz-grant-"), n == "x-amz-website-redirect-location", strings.HasPrefix(n, "x-amz-copy-source-server-side"),
+			n == "x-amz-acl" && string(h.Value) != "private" && string(h.Value) != "bucket-owner-full-control",
+			n == "x-amz-write-offset-bytes":
+			return objectapi.Errorf("NotImplemented", "The header "+n+" asks for something that is not offered here.")
+		case n == "x-amz-storage-class" && string(h.Value) != "STANDARD":
+			return objectapi.Errorf("InvalidStorageClass", "The storage class you specified is not valid.")
+		}
+	}
+	return nil
+}
+
+// takeBody gets the request's body in, or lets it stream through.
+func (t *transaction) takeBody(r *http1.Request, auth *sigv4.Auth) {
+	c, lim := t.conn, t.conn.lane.g.cfg.Limits
+	if !r.HasLength && !r.Chunked && t.op.Kind != objectapi.CreateBucket {
+		e := objectapi.Errorf("MissingContentLength", "You must provide the Content-Length HTTP header.")
+		t.fail(e, e.Status())
+		return
+	}
+	body, err := payload.New(r, auth)
+	if err != nil {
+		t.close = t.close || !r.None()
+		t.fail(err, err.Status())
+		return
+	}
+	t.body = body
+	most := int64(lim.Document)
+	if t.op.Kind.Streams() {
+		most = maxObject
+	}
+	if body.Length > most {
+		e := objectapi.Errorf("EntityTooLarge", "Your proposed upload exceeds the maximum allowed size.")
+		t.fail(e, e.Status())
+		return
+	}
+	if t.op.Kind.Streams() && (body.Length < 0 || body.Length > int64(lim.Replay)) {
+		t.dispatch(r)
+		return
+	}
+	// What the request's head says must outlast the buffer that it was read from.
+	req := &http1.Request{Method: []byte(t.method), Target: []byte(string(r.Target)), Headers: cloneHeaders(r.Headers)}
+	t.then = func(t *transaction) { t.dispatch(req) }
+	if body.Length > 0 {
+		t.held = make([]byte, 0, body.Length)
+	}
+	t.continueBody()
+	c.set(gathering)
+	if r.None() {
+		c.gather(nil)
+	}
+}
+
+// dispatch starts what an operation needs of nodes.
+func (t *transaction) dispatch(r *http1.Request) {
+	switch t.op.Kind {
+	case objectapi.ListBuckets:
+		t.listBuckets()
+	case objectapi.CreateBucket:
+		t.createBucket()
+	case objectapi.DeleteBucket:
+		t.deleteBucket()
+	case objectapi.GetBucketLocation:
+		t.location()
+	case objectapi.HeadBucket, objectapi.GetBucketVersioning:
+		t.forward(r, t.vol.place.Shards()[0], 0)
+	case objectapi.ListObjectsV1, objectapi.ListObjectsV2:
+		t.listObjects()
+	case objectapi.ListMultipartUploads:
+		t.listUploads()
+	case objectapi.DeleteObjects:
+		t.deleteObjects()
+	case objectapi.CopyObject, objectapi.UploadPartCopy:
+		t.copyObject(r)
+	case objectapi.PutObject, objectapi.UploadPart:
+		t.put(r)
+	case objectapi.GetObject:
+		t.forward(r, t.shard(), rangeSize(r.Headers.Get("range")))
+	default:
+		t.forward(r, t.shard(), 0)
+	}
+}
+
+// shard is that of the operation's object.
+func (t *transaction) shard() choice.Shard { return t.vol.place.Shard(t.op.Key) }
+
+// rangeSize returns how many bytes a range asks for, -1 where its head does not say.
+func rangeSize(v []byte) int64 {
+	s, ok := strings.CutPrefix(string(v), "bytes=")
+	first, last, dash := strings.Cut(s, "-")
+	z, err := strconv.ParseInt(last, 10, 64)
+	if !ok || !dash || err != nil || z < 0 {
+		return -1
+	}
+	if first == "" {
+		return z
+	}
+	a, err := strconv.ParseInt(first, 10, 64)
+	if err != nil || a < 0 || a > z || z == math.MaxInt64 {
+		return -1
+	}
+	return z - a + 1
+}
+
+// price makes the request that choice is asked about.
+func (t *transaction) price(kind objectapi.Kind, v *volume, shard choice.Shard, key string, size int64) choice.Request {
+	s := t.conn.lane.g
+	p := s.tariff.Of(kind, size)
+	class := &s.cfg.Classes[p.Class]
+	r := choice.Request{Class: p.Class, Shard: shard, Units: p.Units, Left: class.Deadline.D()}
+	if v != nil {
+		r.Plan, r.Volume, r.Hosts = v.plan, choice.VolumeID(v.name), v.hosts
+	} else {
+		r.Volume, r.Hosts = "/", s.cfg.Peers // what belongs to no bucket
+	}
+	if class.InTurn && key != "" {
+		r.Key = string(r.Volume) + "/" + key
+	}
+	return r
+}
+
+// nodeHead writes the head of a request to a node, without the attempt's line.
+func (t *transaction) nodeHead(b []byte, method, bucket, key string, q objectapi.Query, r choice.Request, writes bool, part string) []byte {
+	b = append(append(b, method...), " /"...)
+	b = sigv4.AppendEscape(b, bucket, false)
+	if key != "" {
+		b = sigv4.AppendEscape(append(b, '/'), key, true)
+	}
+	sep := byte('?')
+	for _, p := range q {
+		if strings.HasPrefix(p.Name, "X-Amz-") || p.Name == "x-id" {
+			continue
+		}
+		b = sigv4.AppendEscape(append(b, sep), p.Name, false)
+		if sep = '&'; p.Value != "" {
+			b = sigv4.AppendEscape(append(b, '='), p.Value, false)
+		}
+	}
+	b = append(b, " HTTP/1.1\r\nHost: node\r\nx-chalkstand-volume: "...)
+	b = append(b, r.Volume...)
+	b = append(b, "\r\nx-chalkstand-units: "...)
+	b = strconv.AppendFloat(b, r.Units, 'g', 6, 64)
+	b = append(b, "\r\n"...)
+	if writes {
+		b = append(b, "x-chalkstand-key: "...)
+		b = append(b, t.conn.lane.g.core.nonce...)
+		b = append(append(b, t.id...), part...)
+		b = append(b, "\r\n"...)
+	}
+	return b
+}
+
+// passed are the request headers that go on to a node, beside those of x-amz-.
+var passed = []string{"content-type", "content-encoding", "content-disposition", "content-language", "cache-control", "expires",
+	"range", "if-match", "if-none-match", "if-modified-since", "if-unmodified-since", "if-range", "content-md5"}
+
+// notPassed are headers of x-amz- that speak to the gateway.
+var notPassed = []string{"x-amz-date", "x-amz-content-sha256", "x-amz-security-token", "x-amz-decoded-content-length", "x-amz-trailer",
+	"x-amz-copy-source", "x-amz-acl"}
+
+func appendPassed(b []byte, hs http1.Headers) []byte {
+	for _, h := range hs {
+		is := func(n string) bool { return http1.EqualFold(h.Name, n) }
+		amz := len(h.Name) > 6 && http1.EqualFold(h.Name[:6], "x-amz-")
+		if amz && slices.ContainsFunc(notPassed, is) || !amz && !slices.ContainsFunc(passed, is) {
+			continue
+		}
+		v := h.Value
+		if is("content-encoding") {
+			if v = withoutAWSChunked(v); len(v) == 0 {
+				continue
+			}
+		}
+		b = append(append(append(append(b, h.Name...), ": "...), v...), "\r\n"...)
+	}
+	return b
+}
+
+// withoutAWSChunked takes aws-chunked out of a list of codings: it ends here.
+func withoutAWSChunked(v []byte) []byte {
+	var out []string
+	for c := range strings.SplitSeq(string(v), ",") {
+		if c = strings.TrimSpace(c); c != "" && !strings.EqualFold(c, "aws-chunked") {
+			out = append(out, c)
+		}
+	}
+	return []byte(strings.Join(out, ", "))
+}
+
+// forward sends an operation to the node of one shard and serves its answer.
+func (t *transaction) forward(r *http1.Request, shard choice.Shard, size int64) {
+	kind := t.op.Kind
+	req := t.price(kind, t.vol, shard, t.op.Key, size)
+	b := make([]byte, 0, 512+len(t.held)/64)
+	b = t.nodeHead(b, t.method, t.op.Bucket, t.op.Key, t.op.Query, req, kind.Writes(), "")
+	b = appendPassed(b, r.Headers)
+	if kind.HasBody() || t.method == "POST" {
+		b = http1.AppendLength(b, int64(len(t.held)))
+	}
+	t.call(&call{method: t.method, head: b, body: t.held, collect: t.conn.lane.g.cfg.Limits.Replay, sink: t, done: t.serve}, req)
+}
+
+// put stores an object or a part.
+func (t *transaction) put(r *http1.Request) {
+	kind := t.op.Kind
+	size := t.body.Length
+	req := t.price(kind, t.vol, t.shard(), t.op.Key, size)
+	b := t.nodeHead(make([]byte, 0, 768), "PUT", t.op.Bucket, t.op.Key, t.op.Query, req, true, "")
+	b = appendPassed(b, r.Headers)
+	k := &call{method: "PUT", collect: t.conn.lane.g.cfg.Limits.Replay, done: t.serve}
+	trailer, trailing := t.body.Trailing()
+	if t.whole {
+		if trailing {
+			b = http1.AppendHeader(b, trailer, t.body.Checksum.Value)
+		}
+		k.body = t.held
+		b = http1.AppendLength(b, int64(len(t.held)))
+	} else {
+		u := &upload{t: t, call: k, trailer: trailer, chunked: trailing || size < 0}
+		if t.up = u; u.chunked {
+			b = append(b, "Transfer-Encoding: chunked\r\n"...)
+			if trailing {
+				b = http1.AppendHeader(b, "Trailer", trailer)
+			}
+		} else {
+			b = http1.AppendLength(b, size)
+		}
+		k.source = u
+	}
+	k.head = b
+	t.call(k, req)
+}
+
+// call begins a request of this transaction to a node.
+func (t *transaction) call(k *call, r choice.Request) {
+	if t.vol != nil {
+		k.rate = t.vol.rate
+	}
+	t.calls = append(t.calls, k)
+	if t.conn.state == reading || t.conn.state == gathering {
+		t.conn.set(asking)
+	}
+	t.conn.lane.begin(k, r)
+}
+
+// serve gives a call's result as the transaction's answer.
+func (t *transaction) serve(r result) {
+	if t.ended {
+		return
+	}
+	switch r.kind {
+	case answered:
+		t.relay(r)
+	case streamed:
+		t.streamEnded(false)
+	case cut:
+		t.streamEnded(true)
+	case refused:
+		t.slowDown(r.after)
+	case failed:
+		t.giveUp(r.late)
+	}
+}
+
+// relay passes on a node's whole answer.
+func (t *transaction) relay(r result) {
+	if t.ended || t.begun {
+		return
+	}
+	b := t.appendHead(r.resp.Status)
+	b = appendNodeHeaders(b, r.resp.Headers)
+	switch {
+	case t.head: // the length of what a GET would bring
+		if v := r.resp.Headers.Get("content-length"); v != nil {
+			b = http1.AppendHeader(b, "Content-Length", v)
+		}
+	case r.resp.Status != 204 && r.resp.Status != 304:
+		b = http1.AppendLength(b, int64(len(r.body)))
+	}
+	b = append(b, "\r\n"...)
+	if !t.head {
+		b = append(b, r.body...)
+	}
+	t.conn.lane.scratch = b[:0]
+	t.begun = true
+	t.conn.c.Write(b)
+	t.finish()
+}
+
+// logAccess writes a line for a request that has its answer.
+func (g *Gateway) logAccess(t *transaction) {
+	if !g.cfg.Log.Access {
+		return
+	}
+	g.log.Info("request", zap.String("id", t.id), zap.Stringer("op", t.op.Kind), zap.String("bucket", t.op.Bucket), zap.String("key", t.op.Key),
+		zap.Int("status", t.status), zap.Duration("took", time.Since(t.started)))
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,279 @@
+// Package gateway is the storage gateway as a library: clients speak the object
+// API to it over HTTP, and it schedules their reads and writes across storage
+// nodes. It keeps no package-level state, handles no signal and ends no process.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"chalkstand/choice"
+	"chalkstand/exchange"
+	"chalkstand/internal/netloop"
+	"chalkstand/internal/settings"
+	"chalkstand/internal/sigv4"
+	"chalkstand/placement"
+	"chalkstand/tariff"
+)
+
+// Settings are those of the settings file.
+type Settings = settings.Settings
+
+// Option changes how a Gateway is built.
+type Option func(*Gateway)
+
+// WithLogger has the gateway log to l. The default is silence.
+func WithLogger(l *zap.Logger) Option { return func(g *Gateway) { g.log = l } }
+
+// WithRegistry registers the gateway's metrics. The default is none.
+func WithRegistry(r prometheus.Registerer) Option { return func(g *Gateway) { g.registry = r } }
+
+// WithClock sets the wall clock by which signatures are checked.
+func WithClock(now func() time.Time) Option { return func(g *Gateway) { g.wall = now } }
+
+// WithSeed fixes the seed of the dispatcher's random choices.
+func WithSeed(seed uint64) Option { return func(g *Gateway) { g.seed = seed } }
+
+// WithTrace has f called with each input of the dispatcher and what it answered,
+// in order, one at a time. f must not block.
+func WithTrace(f func(now time.Duration, ev choice.Event, acts []choice.Action)) Option {
+	return func(g *Gateway) { g.trace = f }
+}
+
+// Gateway is one running gateway.
+type Gateway struct {
+	cfg      *Settings
+	log      *zap.Logger
+	registry prometheus.Registerer
+	wall     func() time.Time
+	seed     uint64
+	trace    func(time.Duration, choice.Event, []choice.Action)
+
+	tariff   *tariff.Tariff
+	shards   *placement.Map
+	verify   *sigv4.Verifier
+	keys     atomic.Pointer[map[string]*accessKey]
+	core     *core
+	lanes    []*lane
+	metrics  *metrics
+	nextID   atomic.Uint64
+	turn     int // of the lane that takes the next connection; lane 0 only
+	serving  sync.WaitGroup
+	draining atomic.Bool
+	open     atomic.Int64 // client connections
+	busy     atomic.Int64 // client requests in hand
+	closed   sync.Once
+}
+
+type accessKey struct {
+	settings.Key
+}
+
+// New builds a gateway. It serves after Serve.
+func New(cfg Settings, opts ...Option) (*Gateway, error) {
+	g := &Gateway{cfg: &cfg, log: zap.NewNop(), wall: time.Now, seed: rand.Uint64()}
+	for _, o := range opts {
+		o(g)
+	}
+	var err error
+	if g.tariff, err = cfg.Tariff(); err != nil {
+		return nil, fmt.Errorf("gateway: operations: %w", err)
+	}
+	g.shards = placement.New(cfg.Shards)
+	g.SetKeys(cfg.Keys)
+	g.verify = &sigv4.Verifier{Region: cfg.Region, Skew: cfg.Limits.Skew.D(), Secret: g.secret}
+	l := cfg.Limits
+	x, err := exchange.New(exchange.Config{Choice: cfg.Choice(), Seed: g.seed, ConnsPerNode: l.ConnsPerNode, IdleFor: l.NodeIdle.D(),
+		MaxAge: l.NodeAge.D(), Connect: l.Connect.D(), Margin: l.Margin.D(), MaxCalls: l.Calls})
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	x.Trace = g.trace
+	g.core = newCore(x)
+	g.metrics = newMetrics(g)
+	if g.registry != nil {
+		if err := g.registry.Register(g.metrics); err != nil {
+			return nil, fmt.Errorf("gateway: metrics: %w", err)
+		}
+	}
+	n := cfg.Loops
+	if n == 0 {
+		n = runtime.GOMAXPROCS(0)
+	}
+	for i := range n {
+		loop, err := netloop.NewLoop(i)
+		if err != nil {
+			return nil, fmt.Errorf("gateway: %w", err)
+		}
+		g.lanes = append(g.lanes, newLane(g, loop))
+	}
+	g.core.lanes = g.lanes
+	for _, l := range g.lanes {
+		g.serving.Go(func() {
+			if err := l.loop.Run(); err != nil {
+				g.log.Error("event loop ended", zap.Error(err))
+			}
+		})
+	}
+	g.serving.Go(g.core.run)
+	g.serving.Go(g.tick)
+	if len(cfg.Nodes) > 0 {
+		g.SetNodes(choice.Complete, NodesOf(cfg.Nodes))
+	}
+	return g, nil
+}
+
+// NodesOf turns the settings' nodes into a list for SetNodes.
+func NodesOf(ns []settings.Node) []exchange.Node {
+	var list []exchange.Node
+	for _, n := range ns {
+		e := exchange.Node{Addr: n.Addr, Node: choice.Node{ID: choice.NodeID(n.ID), Shard: choice.Shard(n.Shard), Zone: n.Zone, Kind: n.Kind}}
+		if n.State == "draining" {
+			e.State = choice.Draining
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+// Now returns the gateway's own time: since it was built, never going back.
+func (g *Gateway) Now() time.Duration { return g.core.now() }
+
+// SetNodes tells the gateway of its storage nodes. Times in it are on Now's scale.
+func (g *Gateway) SetNodes(kind choice.ListKind, nodes []exchange.Node) {
+	g.core.tell(nil, exchange.Nodes{Kind: kind, Nodes: nodes})
+}
+
+// SetKeys replaces the access keys. Requests already taken keep theirs.
+func (g *Gateway) SetKeys(keys []settings.Key) {
+	m := make(map[string]*accessKey, len(keys))
+	for _, k := range keys {
+		m[k.ID] = &accessKey{k}
+	}
+	g.keys.Store(&m)
+}
+
+func (g *Gateway) secret(id string) (string, bool) {
+	if k := (*g.keys.Load())[id]; k != nil {
+		return k.Secret, true
+	}
+	return "", false
+}
+
+// Serve accepts clients on the listeners, which it takes over, until ctx ends or
+// the gateway is closed. It returns at once when a listener cannot be used.
+func (g *Gateway) Serve(ctx context.Context, listeners ...*net.TCPListener) error {
+	for _, ln := range listeners {
+		fd, err := netloop.Detach(ln)
+		if err != nil {
+			return fmt.Errorf("gateway: listener %v: %w", ln.Addr(), err)
+		}
+		ln.Close()
+		first := g.lanes[0]
+		failed := make(chan error, 1)
+		first.loop.Do(func() { failed <- first.loop.Listen(fd, g.accept) })
+		if err := <-failed; err != nil {
+			return fmt.Errorf("gateway: listener: %w", err)
+		}
+	}
+	select {
+	case <-ctx.Done():
+	case <-g.core.done:
+	}
+	return nil
+}
+
+// accept runs on the first loop and spreads connections over all.
+func (g *Gateway) accept(fd int, sa unix.Sockaddr) {
+	if int(g.open.Load()) >= g.cfg.Limits.Conns || g.draining.Load() {
+		g.metrics.turnedAway.Inc()
+		unix.Write(fd, tooMany)
+		unix.Close(fd)
+		return
+	}
+	g.open.Add(1)
+	l := g.lanes[g.turn%len(g.lanes)]
+	g.turn++
+	if l == g.lanes[0] {
+		l.addClient(fd)
+	} else {
+		l.loop.Do(func() { l.addClient(fd) })
+	}
+}
+
+var tooMany = []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+
+// Drain stops accepting and waits until every request taken has its answer, or
+// ctx ends.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.draining.Store(true)
+	for _, l := range g.lanes {
+		l.loop.Do(func() {
+			l.loop.Unlisten()
+			l.closeIdle()
+		})
+	}
+	t := time.NewTicker(5 * time.Millisecond)
+	defer t.Stop()
+	for g.busy.Load() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return fmt.Errorf("gateway: %d requests still in hand: %w", g.busy.Load(), ctx.Err())
+		}
+	}
+	return nil
+}
+
+// Close ends the gateway at once. What it held is the clients' to retry.
+func (g *Gateway) Close() error {
+	g.closed.Do(func() {
+		g.core.stop()
+		for _, l := range g.lanes {
+			l.loop.Stop()
+		}
+		if g.registry != nil {
+			g.registry.Unregister(g.metrics)
+		}
+	})
+	g.serving.Wait()
+	return nil
+}
+
+// sweepEvery is how often connections are looked over for clients that are idle
+// or slow. Their limits are much longer.
+const sweepEvery = 100 * time.Millisecond
+
+func (g *Gateway) tick() {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-g.core.done:
+			return
+		case <-t.C:
+			for _, l := range g.lanes {
+				l.loop.Do(l.sweep)
+			}
+		}
+	}
+}
+
+// Listen opens a listener for Serve.
+func Listen(addr string) (*net.TCPListener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	return ln.(*net.TCPListener), nil
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chalkstand/internal/objectapi"
+)
+
+// metrics are what a gateway counts. It registers as one collector.
+type metrics struct {
+	g          *Gateway
+	requests   *prometheus.CounterVec
+	latency    prometheus.Histogram
+	attempts   prometheus.Counter
+	refused    prometheus.Counter
+	failed     prometheus.Counter
+	cut        prometheus.Counter
+	gone       prometheus.Counter
+	turnedAway prometheus.Counter
+	conns      prometheus.GaugeFunc
+	inHand     prometheus.GaugeFunc
+	byOp       [][6]prometheus.Counter // by operation and first digit of the status
+}
+
+func newMetrics(g *Gateway) *metrics {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "chalkstand", Name: name, Help: help})
+	}
+	gauge := func(name, help string, f func() float64) prometheus.GaugeFunc {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "chalkstand", Name: name, Help: help}, f)
+	}
+	m := &metrics{g: g,
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "chalkstand", Name: "requests_total",
+			Help: "Client requests that had their final answer, by operation and class of status; 0xx: broken off."}, []string{"op", "status"}),
+		latency: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "chalkstand", Name: "request_seconds",
+			Help: "Time from a request's head to its answer's end.", Buckets: prometheus.ExponentialBuckets(0.0005, 2, 18)}),
+		attempts:   counter("attempts_total", "Requests sent to nodes, further attempts included."),
+		refused:    counter("refused_total", "Requests to nodes that the dispatcher refused."),
+		failed:     counter("failed_total", "Requests to nodes that ended without a node's answer."),
+		cut:        counter("cut_total", "Answers broken off after their head."),
+		gone:       counter("gone_total", "Clients that left before their answer."),
+		turnedAway: counter("connections_refused_total", "Connections closed at once for lack of room."),
+		conns:      gauge("connections", "Open client connections.", func() float64 { return float64(g.open.Load()) }),
+		inHand:     gauge("requests_in_hand", "Client requests taken and not yet answered.", func() float64 { return float64(g.busy.Load()) }),
+	}
+	m.byOp = make([][6]prometheus.Counter, objectapi.Kinds())
+	for k := range m.byOp {
+		for s := range m.byOp[k] {
+			m.byOp[k][s] = m.requests.WithLabelValues(kindName(k), string(rune('0'+s))+"xx")
+		}
+	}
+	return m
+}
+
+func (m *metrics) all() []prometheus.Collector {
+	return []prometheus.Collector{m.requests, m.latency, m.attempts, m.refused, m.failed, m.cut, m.gone, m.turnedAway, m.conns, m.inHand}
+}
+
+// Describe implements prometheus.Collector.
+func (m *metrics) Describe(ch chan<- *prometheus.Desc) {
+	for _, c := range m.all() {
+		c.Describe(ch)
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (m *metrics) Collect(ch chan<- prometheus.Metric) {
+	for _, c := range m.all() {
+		c.Collect(ch)
+	}
+}
+
+// done counts a request that has its answer.
+func (m *metrics) done(t *transaction) {
+	m.byOp[t.op.Kind][min(max(t.status/100, 0), 5)].Inc()
+	m.latency.Observe(time.Since(t.started).Seconds())
+}
+
+func kindName(k int) string { return objectapi.Kind(k).String() }
--- /dev/null
+++ b/gateway/report.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"bytes"
+	"strconv"
+
+	"chalkstand/choice"
+	"chalkstand/exchange"
+)
+
+// loadHeader carries a node's load report, in the text form of the Open Request
+// Cost Aggregation format.
+const loadHeader = "endpoint-load-metrics"
+
+// word turns a node's answer into what the exchange hears of it.
+func (k *nodeConn) word() exchange.Word {
+	w := exchange.Word{Status: choice.Served}
+	switch s := k.resp.Status; {
+	case s == 503 || s == 429:
+		w.Status = choice.Full
+	case s >= 500 && s != 501:
+		w.Status = choice.Errored
+	}
+	if v := k.resp.Headers.Get(loadHeader); v != nil {
+		k.lane.readReport(v, k.call, &w)
+	}
+	return w
+}
+
+// readReport reads "TEXT name=value, …". Names that are not known are left out;
+// a value that is no number is as good as absent.
+func (l *lane) readReport(v []byte, c *call, w *exchange.Word) {
+	rest, ok := bytes.CutPrefix(v, []byte("TEXT "))
+	if !ok {
+		return
+	}
+	for len(rest) > 0 {
+		var item []byte
+		item, rest, _ = bytes.Cut(rest, []byte(","))
+		name, val, _ := bytes.Cut(bytes.TrimSpace(item), []byte("="))
+		x, err := strconv.ParseFloat(string(val), 64)
+		if err != nil || !(x >= 0) || x > 1e12 {
+			continue
+		}
+		switch string(name) {
+		case "named_metrics.inflight":
+			w.Report = choice.Report{"inflight": x}
+		case "named_metrics.volume_rate":
+			if c != nil && c.rate > 0 {
+				w.Use = 1 + 100*x/c.rate
+			}
+		case "named_metrics.volume_elsewhere":
+			w.Elsewhere = x
+		}
+	}
+}
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -19,6 +19,7 @@
 	sent    int // of out
 	paused  bool
 	closing bool // after what waits to be written
+	ending  bool // of the writing side, after what waits
 	queued  bool // in loop.again
 	polled  interest
 }
@@ -66,7 +67,7 @@
 // Write sends b, keeping a copy of what the socket does not take. The sender
 // watches Pending, stops its source, and goes on at OnDrained.
 func (c *Conn) Write(b []byte) {
-	if c.fd < 0 || c.closing {
+	if c.fd < 0 || c.closing || c.ending {
 		return
 	}
 	if c.Pending() == 0 {
@@ -115,6 +116,9 @@
 		c.shut(nil)
 		return false
 	}
+	if c.ending {
+		unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
 	c.poll()
 	c.Handler.OnDrained(c)
 	return c.fd >= 0
@@ -146,6 +150,20 @@
 	}
 }
 
+// Paused tells whether reading is stopped.
+func (c *Conn) Paused() bool { return c.paused }
+
+// EndWrite tells the peer that nothing more comes, once all is written. Reading
+// goes on.
+func (c *Conn) EndWrite() {
+	if c.fd < 0 || c.ending {
+		return
+	}
+	if c.ending = true; c.Pending() == 0 {
+		unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
+}
+
 // Close ends the connection now; what waits to be written is dropped.
 func (c *Conn) Close() { c.shut(nil) }
 
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,323 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"path"
+
+	"chalkstand/choice"
+	"chalkstand/internal/objectapi"
+	"chalkstand/tariff"
+)
+
+// check finds the first setting that makes no sense: its field and what is wanted.
+func (s *Settings) check() (field, want string) {
+	for _, c := range []func() (string, string){s.checkPlaces, s.checkKeys, s.checkNodes, s.checkClasses, s.checkPlans,
+		s.checkBuckets, s.checkOperations, s.checkRules, s.checkLimits} {
+		if f, w := c(); w != "" {
+			return f, w
+		}
+	}
+	return "", ""
+}
+
+func (s *Settings) checkPlaces() (string, string) {
+	switch {
+	case s.Name == "":
+		return "name", "want a name without blanks or slashes"
+	case !address(s.Listen):
+		return "listen", `want HOST:PORT, such as "127.0.0.1:9000"`
+	case s.Admin != "" && !address(s.Admin):
+		return "admin", `want HOST:PORT, such as "127.0.0.1:9001", or ""`
+	case s.Region == "":
+		return "region", "want the region that clients sign for"
+	case s.Loops < 0 || s.Loops > 256:
+		return "loops", "want 0 to 256"
+	case s.Peers < 1:
+		return "peers", "want at least 1: this gateway counts"
+	case s.Me < 0 || s.Me >= s.Peers:
+		return "me", fmt.Sprintf("want 0 to %d, below peers", s.Peers-1)
+	case s.Log.Level != "debug" && s.Log.Level != "info" && s.Log.Level != "warn" && s.Log.Level != "error":
+		return "log.level", "want debug, info, warn or error"
+	}
+	for i, r := range s.Name {
+		if r <= ' ' || r == '/' || r > '~' || i > 63 {
+			return "name", "want up to 64 letters, without blanks or slashes"
+		}
+	}
+	return "", ""
+}
+
+func address(a string) bool {
+	_, port, err := net.SplitHostPort(a)
+	return err == nil && port != ""
+}
+
+func (s *Settings) checkKeys() (string, string) {
+	ids := map[string]bool{}
+	for i, k := range s.Keys {
+		f := fmt.Sprintf("keys[%d].", i)
+		switch {
+		case len(k.ID) < 3:
+			return f + "id", "want at least 3 letters"
+		case len(k.Secret) < 8:
+			return f + "secret", "want at least 8 letters"
+		case ids[k.ID]:
+			return f + "id", "this key is listed twice"
+		case len(k.Buckets) == 0:
+			return f + "buckets", `want patterns of buckets, such as ["*"]`
+		}
+		ids[k.ID] = true
+		for j, p := range k.Buckets {
+			if _, err := path.Match(p, ""); err != nil {
+				return fmt.Sprintf("%sbuckets[%d]", f, j), `want a pattern such as "photos-*"`
+			}
+		}
+	}
+	return "", ""
+}
+
+func (s *Settings) checkNodes() (string, string) {
+	if s.Shards < 1 || s.Shards > 4096 {
+		return "shards", "want 1 to 4096"
+	}
+	if s.Embedded != nil && len(s.Nodes) > 0 {
+		return "nodes", "either nodes or embedded_nodes, not both"
+	}
+	if e := s.Embedded; e != nil && (e.Cores < 0 || e.Queue < 0 || e.PerUnit < 0) {
+		return "embedded_nodes", "cores, queue and per_unit must not be negative"
+	}
+	ids := map[string]bool{}
+	for i, n := range s.Nodes {
+		f := fmt.Sprintf("nodes[%d].", i)
+		switch {
+		case n.ID == "":
+			return f + "id", "want a name"
+		case ids[n.ID]:
+			return f + "id", "this node is listed twice"
+		case !address(n.Addr):
+			return f + "addr", `want HOST:PORT, such as "127.0.0.1:9100"`
+		case n.Shard < 0 || n.Shard >= s.Shards:
+			return f + "shard", fmt.Sprintf("want 0 to %d, below shards", s.Shards-1)
+		case n.State != "" && n.State != "serving" && n.State != "draining":
+			return f + "state", "want serving or draining"
+		}
+		ids[n.ID] = true
+	}
+	return "", ""
+}
+
+var (
+	effects = map[string]choice.Effect{"safe": choice.Safe, "keyed": choice.Keyed, "unsafe": choice.Unsafe}
+	groups  = map[string]choice.Group{"": choice.GroupAll, "all": choice.GroupAll, "zone": choice.GroupZone, "shard": choice.GroupShard}
+)
+
+func (s *Settings) checkClasses() (string, string) {
+	if len(s.Classes) == 0 {
+		return "classes", "want at least one class"
+	}
+	names := map[string]bool{}
+	for i, c := range s.Classes {
+		f := fmt.Sprintf("classes[%d].", i)
+		_, effect := effects[c.Effect]
+		_, group := groups[c.Group]
+		switch {
+		case c.Name == "" || names[c.Name]:
+			return f + "name", "want a name that no other class has"
+		case c.Aim <= 0:
+			return f + "aim", `want a time above 0, such as "300ms"`
+		case c.Deadline < c.Aim:
+			return f + "deadline", "want a time not below the aim"
+		case c.Deadline <= s.Limits.Margin:
+			return f + "deadline", "want a time above limits.margin"
+		case !(c.Worth >= 0):
+			return f + "worth", "want 0 or more"
+		case !effect:
+			return f + "effect", "want safe, keyed or unsafe"
+		case !group:
+			return f + "group", "want all, zone or shard"
+		case c.Effect == "keyed" && c.Window <= 0:
+			return f + "window", "want how long nodes drop repeats of a keyed request"
+		}
+		names[c.Name] = true
+	}
+	return "", ""
+}
+
+func (s *Settings) checkPlans() (string, string) {
+	if len(s.Plans) == 0 {
+		return "plans", "want at least one plan"
+	}
+	names := map[string]bool{}
+	for i, p := range s.Plans {
+		f := fmt.Sprintf("plans[%d].", i)
+		switch {
+		case p.Name == "" || names[p.Name]:
+			return f + "name", "want a name that no other plan has"
+		case !(p.Rate > 0):
+			return f + "rate", "want units a second above 0"
+		case !(p.Weight > 0):
+			return f + "weight", "want a number above 0"
+		case !(p.Reserve >= 0) || !(p.Price >= 0) || !(p.Limit >= 0) || !(p.Burst >= 0) || !(p.Slack >= 0):
+			return f + "reserve", "reserve, price, limit, burst and slack must not be negative"
+		case p.Limit > 0 && p.Burst+p.Slack < s.Rules.LargestUnits:
+			return f + "burst", "burst and slack together must bear the largest request (rules.largest_units)"
+		}
+		names[p.Name] = true
+	}
+	return "", ""
+}
+
+func (s *Settings) planIndex(name string) int {
+	for i, p := range s.Plans {
+		if p.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *Settings) classIndex(name string) int {
+	for i, c := range s.Classes {
+		if c.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *Settings) checkBuckets() (string, string) {
+	if len(s.Buckets) == 0 {
+		return "buckets", `want at least one line, such as {"pattern": "*", "plan": …}`
+	}
+	for i, b := range s.Buckets {
+		f := fmt.Sprintf("buckets[%d].", i)
+		if _, err := path.Match(b.Pattern, ""); err != nil || b.Pattern == "" {
+			return f + "pattern", `want a pattern such as "photos-*"`
+		}
+		switch {
+		case s.planIndex(b.Plan) < 0:
+			return f + "plan", "want the name of a plan"
+		case b.Hosts < 0 || b.Hosts > s.Peers:
+			return f + "hosts", "want 0 (all) to peers"
+		case b.Spread < 0 || b.Spread > s.Shards:
+			return f + "spread", "want 0 (all) to shards"
+		}
+	}
+	return "", ""
+}
+
+func (s *Settings) checkOperations() (string, string) {
+	for i, o := range s.Operations {
+		f := fmt.Sprintf("operations[%d].", i)
+		if s.classIndex(o.Class) < 0 {
+			return f + "class", "want the name of a class"
+		}
+		for j, n := range o.Operations {
+			if _, ok := objectapi.KindNamed(n); !ok && n != "*" {
+				return fmt.Sprintf("%soperations[%d]", f, j), `want the name of an operation, such as "GetObject", or "*"`
+			}
+		}
+	}
+	if _, err := s.Tariff(); err != nil {
+		return "operations", err.Error()
+	}
+	return "", ""
+}
+
+func (s *Settings) checkRules() (string, string) {
+	r := s.Rules
+	switch {
+	case r.MaxAttempts < 1:
+		return "rules.max_attempts", "want at least 1"
+	case r.MaxRetryAfter <= 0:
+		return "rules.max_retry_after", "want a time above 0"
+	case r.Settle < 0 || r.Round < 0:
+		return "rules.settle", "settle and round must not be negative"
+	case !(r.UsualUnits > 0) || !(r.LargestUnits >= r.UsualUnits):
+		return "rules.largest_units", "want 0 < usual_units <= largest_units"
+	case !(r.Budget.Free >= 0) || !(r.Budget.Ratio >= 0) || r.Budget.Span < 0:
+		return "rules.budget", "free, ratio and span must not be negative"
+	case r.Cold.YoungLimit > 0 && (r.Cold.Span <= 0 || !(r.Cold.From > 0) || r.Cold.From > 1):
+		return "rules.cold", "young_limit needs a span and a from in (0, 1]"
+	}
+	return "", ""
+}
+
+func (s *Settings) checkLimits() (string, string) {
+	l := s.Limits
+	for _, c := range []struct {
+		field     string
+		have, min int
+	}{{"line", l.Line, 256}, {"headers", l.Headers, 8}, {"head", l.Head, 1024}, {"replay", l.Replay, 1}, {"document", l.Document, 1024},
+		{"pipelined", l.Pipelined, 1}, {"fan_out", l.FanOut, 1}, {"conns", l.Conns, 1}, {"calls", l.Calls, 1}, {"conns_per_node", l.ConnsPerNode, 1}} {
+		if c.have < c.min {
+			return "limits." + c.field, fmt.Sprintf("want at least %d", c.min)
+		}
+	}
+	if l.Replay > 1<<20 {
+		return "limits.replay", "want at most 1048576: larger bodies stream"
+	}
+	for _, c := range []struct {
+		field string
+		have  Duration
+	}{{"node_idle", l.NodeIdle}, {"node_age", l.NodeAge}, {"connect", l.Connect}, {"client_head", l.ClientHead}, {"client_idle", l.ClientIdle},
+		{"client_body", l.ClientBody}, {"client_stall", l.ClientStall}, {"skew", l.Skew}, {"drain_wait", l.DrainWait}} {
+		if c.have <= 0 {
+			return "limits." + c.field, `want a time above 0, such as "30s"`
+		}
+	}
+	if l.Margin < 0 {
+		return "limits.margin", "want 0 or more"
+	}
+	return "", ""
+}
+
+// Tariff returns the tariff of the operations' lines.
+func (s *Settings) Tariff() (*tariff.Tariff, error) {
+	var rules []tariff.Rule
+	for _, o := range s.Operations {
+		r := tariff.Rule{MaxBytes: o.MaxBytes, Class: s.classIndex(o.Class), Units: o.Units, PerMiB: o.PerMiB, Assume: o.Assume}
+		for _, n := range o.Operations {
+			if n == "*" {
+				for k := range objectapi.Kinds() {
+					r.Kinds = append(r.Kinds, objectapi.Kind(k))
+				}
+			} else if k, ok := objectapi.KindNamed(n); ok {
+				r.Kinds = append(r.Kinds, k)
+			}
+		}
+		rules = append(rules, r)
+	}
+	return tariff.New(rules, len(s.Classes), s.Rules.LargestUnits)
+}
+
+// Choice returns the dispatcher's settings.
+func (s *Settings) Choice() choice.Config {
+	r := s.Rules
+	c := choice.Config{Me: s.Me, Peers: s.Peers, Cancel: true, MaxRetryAfter: r.MaxRetryAfter.D(), MaxAttempts: r.MaxAttempts,
+		Round: r.Round.D(), UsualUnits: r.UsualUnits, LargestUnits: r.LargestUnits, Settle: r.Settle.D(),
+		Budget: choice.BudgetRule{Free: r.Budget.Free, Ratio: r.Budget.Ratio, Span: r.Budget.Span.D()},
+		Cold: choice.ColdRule{From: r.Cold.From, WarmUp: r.Cold.WarmUp.D(), Multiple: r.Cold.Multiple, Span: r.Cold.Span.D(),
+			YoungLimit: r.Cold.YoungLimit}}
+	for _, k := range s.Classes {
+		c.Classes = append(c.Classes, choice.Class{Name: k.Name, Aim: k.Aim.D(), Deadline: k.Deadline.D(), Worth: k.Worth,
+			Effect: effects[k.Effect], Group: groups[k.Group], Window: k.Window.D(), InTurn: k.InTurn})
+	}
+	for _, p := range s.Plans {
+		c.Plans = append(c.Plans, choice.Plan{Name: p.Name, Reserve: p.Reserve, Weight: p.Weight, Price: p.Price,
+			Limit: p.Limit, Burst: p.Burst, Slack: p.Slack})
+	}
+	return c
+}
+
+// Plan returns the index of a bucket rule's plan.
+func (s *Settings) Plan(rule int) int { return s.planIndex(s.Buckets[rule].Plan) }
+
+// Hosts returns through how many gateways the requests of a bucket rule come.
+func (s *Settings) Hosts(rule int) int {
+	if h := s.Buckets[rule].Hosts; h > 0 {
+		return h
+	}
+	return s.Peers
+}
--- /dev/null
+++ b/standin/storage/node.go
@@ -0,0 +1,577 @@
+package storage
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"chalkstand/internal/objectapi"
+)
+
+// Config is what a node is like. Zero values make a node that answers at once.
+type Config struct {
+	ID       string
+	Zone     int
+	Shard    int
+	Cores    int           // requests worked on at a time; 0: no bound
+	Speed    float64       // of a core; 0 counts as 1
+	Queue    int           // requests that may wait beside; more are turned away
+	PerUnit  time.Duration // work of one unit at speed 1
+	ColdFrom float64       // share of its speed right after its start; 0: born warm
+	WarmUp   time.Duration // until it has its full speed
+	// Deferred is the share of a write's work that is put off and done in one go
+	// every DeferEvery, in the way of all else.
+	Deferred   float64
+	DeferEvery time.Duration
+	// A node just started falls over when it is sent more than Multiple times what
+	// it can do at that moment within Span, beyond YoungLimit units. 0: it never does.
+	Multiple   float64
+	Span       time.Duration
+	YoungLimit float64
+	// ReportEvery is how long a load report stays the same; ReportNoise is the
+	// share by which it may be off.
+	ReportEvery time.Duration
+	ReportNoise float64
+	Remember    time.Duration // how long repeats of a keyed write are dropped
+	Forget      bool          // keep no log: for nodes that run for long
+	Seed        uint64
+}
+
+// FaultKind is a way to fail.
+type FaultKind int
+
+// The faults that a node can be told to show.
+const (
+	Stall  FaultKind = iota + 1 // take the request, answer nothing until For has passed, or the client leaves
+	Within                      // stall in the middle of the answer
+	Refuse                      // turn away unseen
+	Broken                      // answer 500 without doing the work
+	Reset                       // reset the connection before the work
+	Lose                        // do the work and answer nothing
+	Half                        // break off in the middle of the answer
+	Slow                        // Factor times the work
+	Pause                       // stand still: all wait until For has passed
+)
+
+// Fault is one order to fail.
+type Fault struct {
+	Kind   FaultKind
+	Match  func(*http.Request) bool // nil: all requests
+	Count  int                      // of requests; 0: until For has passed
+	For    time.Duration            // from the order on, and how long a stall lasts; 0: no end
+	Share  float64                  // of the requests that match; 0: all
+	Factor float64
+}
+
+// Entry tells what one request met at a node.
+type Entry struct {
+	Node     string
+	Gateway  string
+	Request  uint64
+	Attempt  int
+	Volume   string
+	Units    float64
+	Op       objectapi.Kind
+	Path     string
+	Key      string // of a keyed write
+	Arrived  time.Duration
+	Ended    time.Duration
+	Ran      bool // the work was done
+	Repeat   bool // dropped as a repeat
+	Status   int  // 0: no answer was given
+	BadWords string
+}
+
+// Node is one running stand-in.
+type Node struct {
+	cfg     Config
+	data    *Dataset
+	ledger  *Ledger
+	epoch   time.Time
+	started time.Time
+	srv     *http.Server
+	ln      net.Listener
+	slots   chan struct{}
+	ctx     context.Context
+	stop    context.CancelFunc
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	faults   []*order
+	log      []*Entry
+	inflight int
+	waiting  int
+	fallen   bool
+	paused   time.Time // nothing works before
+	recent   []load    // of a node just started
+	deferred time.Duration
+	report   string
+	reported time.Time
+	arrived  func(Entry) // told of each arrival
+}
+
+type order struct {
+	Fault
+	until time.Time
+	left  int
+}
+
+type load struct {
+	at    time.Time
+	units float64
+}
+
+// Start runs a node on addr ("127.0.0.1:0" for any port). epoch is the zero of
+// its log's times. The ledger may be nil.
+func Start(addr string, cfg Config, data *Dataset, ledger *Ledger, epoch time.Time) (*Node, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("node %s: %w", cfg.ID, err)
+	}
+	if cfg.Speed == 0 {
+		cfg.Speed = 1
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &Node{cfg: cfg, data: data, ledger: ledger, epoch: epoch, started: time.Now(), ln: ln, ctx: ctx, stop: stop,
+		rng: rand.New(rand.NewPCG(cfg.Seed, 11))}
+	if cfg.Cores > 0 {
+		n.slots = make(chan struct{}, cfg.Cores)
+	}
+	n.srv = &http.Server{Handler: n, ReadHeaderTimeout: 30 * time.Second}
+	go n.srv.Serve(ln)
+	if cfg.Deferred > 0 && cfg.DeferEvery > 0 {
+		go n.catchUp()
+	}
+	return n, nil
+}
+
+// Addr returns where the node listens.
+func (n *Node) Addr() string { return n.ln.Addr().String() }
+
+// ID returns the node's name.
+func (n *Node) ID() string { return n.cfg.ID }
+
+// Started returns when it was started, since the epoch.
+func (n *Node) Started() time.Duration { return n.started.Sub(n.epoch) }
+
+// Fallen tells whether it was pushed over while it was cold.
+func (n *Node) Fallen() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fallen
+}
+
+// Stop ends the node at once: it listens no more and its connections break.
+func (n *Node) Stop() {
+	n.stop()
+	n.srv.Close()
+}
+
+// Inject tells the node to fail.
+func (n *Node) Inject(f Fault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	o := &order{Fault: f, left: f.Count}
+	if f.For > 0 {
+		o.until = time.Now().Add(f.For)
+	}
+	if f.Kind == Pause {
+		n.paused = o.until
+		return
+	}
+	n.faults = append(n.faults, o)
+}
+
+// Heal takes all faults back.
+func (n *Node) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults = nil
+	n.paused = time.Time{}
+}
+
+// Log returns a copy of what reached the node.
+func (n *Node) Log() []Entry {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make([]Entry, len(n.log))
+	for i, e := range n.log {
+		out[i] = *e
+	}
+	return out
+}
+
+// Arrivals has f called with the entry of each request as it arrives.
+func (n *Node) Arrivals(f func(Entry)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.arrived = f
+}
+
+// fault picks the order that a request falls under.
+func (n *Node) fault(r *http.Request) *order {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	for _, o := range n.faults {
+		if !o.until.IsZero() && now.After(o.until) || o.Count > 0 && o.left == 0 || o.Match != nil && !o.Match(r) {
+			continue
+		}
+		if o.Share > 0 && n.rng.Float64() >= o.Share {
+			continue
+		}
+		o.left--
+		return o
+	}
+	return nil
+}
+
+// ServeHTTP answers one request.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e := n.arrive(r)
+	defer func() {
+		n.mu.Lock()
+		n.inflight--
+		e.Ended = time.Since(n.epoch)
+		n.mu.Unlock()
+	}()
+	f := n.fault(r)
+	kind := FaultKind(0)
+	if f != nil {
+		kind = f.Kind
+	}
+	switch kind {
+	case Refuse:
+		n.turnAway(w, e)
+		return
+	case Reset:
+		abort(w)
+		return
+	case Stall:
+		n.hold(r, f)
+		abort(w)
+		return
+	case Broken:
+		n.note(e, func(x *Entry) { x.Status = 500 })
+		n.write(w, r, failed(objectapi.Errorf("InternalError", "We encountered an internal error."), r.URL.Path), 0, f)
+		return
+	}
+	op, perr := operation(r)
+	if perr != nil {
+		n.note(e, func(x *Entry) { x.BadWords, x.Status = perr.Error(), perr.Status() })
+		n.write(w, r, failed(perr, r.URL.Path), 0, f)
+		return
+	}
+	n.note(e, func(x *Entry) { x.Op = op.Kind })
+	if !n.work(r, op, e, f) {
+		if n.gone(r) {
+			abort(w)
+			return
+		}
+		n.turnAway(w, e)
+		return
+	}
+	rep := n.once(op, r, e)
+	if kind == Lose {
+		n.hold(r, f)
+		abort(w)
+		return
+	}
+	n.note(e, func(x *Entry) { x.Status = rep.status })
+	n.write(w, r, rep, kind, f)
+}
+
+func (n *Node) note(e *Entry, f func(*Entry)) {
+	n.mu.Lock()
+	f(e)
+	n.mu.Unlock()
+}
+
+// arrive logs a request and counts what it adds to a cold node's load.
+func (n *Node) arrive(r *http.Request) *Entry {
+	h := r.Header
+	e := &Entry{Node: n.cfg.ID, Volume: h.Get("x-chalkstand-volume"), Path: r.RequestURI, Key: h.Get("x-chalkstand-key")}
+	e.Units, _ = strconv.ParseFloat(h.Get("x-chalkstand-units"), 64)
+	if p := strings.Split(h.Get("x-chalkstand-request"), "/"); len(p) == 3 {
+		e.Gateway = p[0]
+		e.Request, _ = strconv.ParseUint(p[1], 10, 64)
+		e.Attempt, _ = strconv.Atoi(p[2])
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	e.Arrived = now.Sub(n.epoch)
+	n.inflight++
+	if !n.cfg.Forget {
+		n.log = append(n.log, e)
+	}
+	n.strain(now, e.Units)
+	if n.arrived != nil {
+		n.arrived(*e)
+	}
+	return e
+}
+
+// strain lets a node that has just started fall over when too much reaches it.
+func (n *Node) strain(now time.Time, units float64) {
+	c := n.cfg
+	age := now.Sub(n.started)
+	if c.Multiple <= 0 || c.PerUnit <= 0 || age > c.WarmUp+c.Span {
+		return
+	}
+	n.recent = append(n.recent, load{now, units})
+	sum := 0.0
+	for len(n.recent) > 0 && now.Sub(n.recent[0].at) > c.Span {
+		n.recent = n.recent[1:]
+	}
+	for _, l := range n.recent {
+		sum += l.units
+	}
+	can := n.speed(now) * float64(max(c.Cores, 1)) * c.Span.Seconds() / c.PerUnit.Seconds()
+	if sum > max(c.Multiple*can, c.YoungLimit) && !n.fallen {
+		n.fallen = true
+		go n.Stop()
+	}
+}
+
+// speed is that of a core by the node's age.
+func (n *Node) speed(now time.Time) float64 {
+	c := n.cfg
+	if c.ColdFrom <= 0 || c.WarmUp <= 0 {
+		return c.Speed
+	}
+	grown := min(1, now.Sub(n.started).Seconds()/c.WarmUp.Seconds())
+	return c.Speed * (c.ColdFrom + (1-c.ColdFrom)*grown)
+}
+
+// work waits for a core and keeps it for as long as the request takes. False: the
+// queue is full, or nobody waits any more.
+func (n *Node) work(r *http.Request, op objectapi.Operation, e *Entry, f *order) bool {
+	if n.cfg.PerUnit <= 0 && n.slots == nil {
+		return true
+	}
+	n.mu.Lock()
+	if n.slots != nil && n.waiting >= n.cfg.Cores+n.cfg.Queue {
+		n.mu.Unlock()
+		return false
+	}
+	n.waiting++
+	units := max(e.Units, 1)
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		n.waiting--
+		n.mu.Unlock()
+	}()
+	if n.slots != nil {
+		select {
+		case n.slots <- struct{}{}:
+		case <-n.ctx.Done():
+			return false
+		}
+		defer func() { <-n.slots }()
+	}
+	n.mu.Lock()
+	now := time.Now()
+	still := n.paused.Sub(now)
+	took := time.Duration(units * float64(n.cfg.PerUnit) / n.speed(now))
+	if op.Kind.Writes() && n.cfg.Deferred > 0 {
+		put := time.Duration(n.cfg.Deferred * float64(took))
+		n.deferred += put
+		took -= put
+	}
+	n.mu.Unlock()
+	if f != nil && f.Kind == Slow {
+		took = time.Duration(float64(took) * f.Factor)
+	}
+	return n.sleep(max(still, 0) + took)
+}
+
+func (n *Node) sleep(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-n.ctx.Done():
+		return false
+	}
+}
+
+// catchUp does the work that was put off, with all cores.
+func (n *Node) catchUp() {
+	for n.sleep(n.cfg.DeferEvery) {
+		n.mu.Lock()
+		d := n.deferred / time.Duration(max(n.cfg.Cores, 1))
+		n.deferred = 0
+		n.paused = time.Now().Add(d)
+		n.mu.Unlock()
+	}
+}
+
+func (n *Node) gone(r *http.Request) bool { return r.Context().Err() != nil || n.ctx.Err() != nil }
+
+// hold keeps a request without an answer.
+func (n *Node) hold(r *http.Request, f *order) {
+	d := f.For
+	if d <= 0 {
+		d = time.Hour
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-n.ctx.Done():
+	case <-r.Context().Done():
+	}
+}
+
+// abort resets the connection.
+func abort(w http.ResponseWriter) {
+	if h, ok := w.(http.Hijacker); ok {
+		if c, _, err := h.Hijack(); err == nil {
+			if t, ok := c.(*net.TCPConn); ok {
+				t.SetLinger(0)
+			}
+			c.Close()
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (n *Node) turnAway(w http.ResponseWriter, e *Entry) {
+	n.note(e, func(x *Entry) { x.Status = 503 })
+	w.Header().Set("Retry-After", "1")
+	w.Header().Set("Content-Type", "application/xml")
+	w.WriteHeader(503)
+	w.Write(objectapi.Errorf("SlowDown", "Please reduce your request rate.").Document("", "0"))
+}
+
+// once runs the operation, or gives a repeat the answer of the first.
+func (n *Node) once(op objectapi.Operation, r *http.Request, e *Entry) reply {
+	key := r.Header.Get("x-chalkstand-key")
+	if key == "" || n.cfg.Remember <= 0 || !op.Kind.Writes() {
+		n.ran(r, e)
+		return n.data.run(op, r)
+	}
+	d, now := n.data, time.Now()
+	d.mu.Lock()
+	p := d.repeats[key]
+	if p != nil && (p.until.IsZero() || now.Before(p.until)) {
+		d.mu.Unlock()
+		io.Copy(io.Discard, r.Body)
+		n.note(e, func(x *Entry) { x.Repeat = true })
+		select {
+		case <-p.done:
+		case <-n.ctx.Done():
+		}
+		return p.reply
+	}
+	p = &repeat{done: make(chan struct{})}
+	d.repeats[key] = p
+	d.mu.Unlock()
+	n.ran(r, e)
+	p.reply = d.run(op, r)
+	d.mu.Lock()
+	p.until = time.Now().Add(n.cfg.Remember)
+	for k, q := range d.repeats {
+		if !q.until.IsZero() && now.After(q.until) {
+			delete(d.repeats, k)
+		}
+	}
+	d.mu.Unlock()
+	close(p.done)
+	return p.reply
+}
+
+func (n *Node) ran(r *http.Request, e *Entry) {
+	n.note(e, func(x *Entry) { x.Ran = true })
+	if n.ledger != nil {
+		h := r.Header
+		u, _ := strconv.ParseFloat(h.Get("x-chalkstand-units"), 64)
+		n.ledger.Add(h.Get("x-chalkstand-volume"), n.cfg.ID, gatewayOf(h), u)
+	}
+}
+
+func gatewayOf(h http.Header) string {
+	g, _, _ := strings.Cut(h.Get("x-chalkstand-request"), "/")
+	return g
+}
+
+// write sends an answer, whole or with the fault that was ordered.
+func (n *Node) write(w http.ResponseWriter, r *http.Request, rep reply, kind FaultKind, f *order) {
+	h := w.Header()
+	for k, v := range rep.header {
+		h.Set(k, v)
+	}
+	h.Set("endpoint-load-metrics", n.loadReport(r.Header))
+	length := int64(len(rep.body))
+	if rep.blob != nil {
+		length = rep.length
+	}
+	if rep.status != 204 && rep.status != 304 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	w.WriteHeader(rep.status)
+	if r.Method == "HEAD" || length == 0 {
+		return
+	}
+	var body io.Reader = strings.NewReader(bytesString(rep.body))
+	if rep.blob != nil {
+		rd, err := rep.blob.open(rep.from, rep.length)
+		if err != nil {
+			abort(w)
+			return
+		}
+		defer rd.Close()
+		body = rd
+	}
+	if kind != Half && kind != Within {
+		io.Copy(w, body)
+		return
+	}
+	io.CopyN(w, body, length/2)
+	http.NewResponseController(w).Flush()
+	if kind == Half {
+		abort(w)
+		return
+	}
+	n.hold(r, f)
+	if !n.gone(r) {
+		io.Copy(w, body)
+	}
+}
+
+// loadReport is the node's account of its load and of the volume's use, in the
+// text form of the Open Request Cost Aggregation report.
+func (n *Node) loadReport(h http.Header) string {
+	n.mu.Lock()
+	now := time.Now()
+	if n.report == "" || now.Sub(n.reported) >= n.cfg.ReportEvery {
+		noise := 1 + n.cfg.ReportNoise*(2*n.rng.Float64()-1)
+		busy := 0.0
+		if n.cfg.Cores > 0 {
+			busy = min(1, float64(n.waiting)/float64(n.cfg.Cores))
+		}
+		n.report = fmt.Sprintf("TEXT cpu_utilization=%.3f, named_metrics.inflight=%.2f", busy*noise, float64(n.inflight)*noise)
+		n.reported = now
+	}
+	rep := n.report
+	n.mu.Unlock()
+	if n.ledger != nil {
+		rate, elsewhere := n.ledger.Report(h.Get("x-chalkstand-volume"), n.cfg.ID, gatewayOf(h))
+		rep += fmt.Sprintf(", named_metrics.volume_rate=%.3f, named_metrics.volume_elsewhere=%.3f", rate, elsewhere)
+	}
+	return rep
+}
