--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -277,3 +277,29 @@
 	}
 	return ln.(*net.TCPListener), nil
 }
+
+// InHand returns how many client requests are taken and not yet answered.
+func (g *Gateway) InHand() int { return int(g.busy.Load()) }
+
+// HeldBytes returns how many bytes wait in the gateway's own buffers, of all
+// connections.
+func (g *Gateway) HeldBytes() int {
+	n := make(chan int, len(g.lanes))
+	for _, l := range g.lanes {
+		l.loop.Do(func() {
+			sum := 0
+			l.loop.Each(func(c *netloop.Conn) { sum += c.Pending() + c.Kept() })
+			n <- sum
+		})
+	}
+	sum := 0
+	for range g.lanes {
+		select {
+		case x := <-n:
+			sum += x
+		case <-g.core.done:
+			return 0
+		}
+	}
+	return sum
+}
--- a/internal/e2e/clients_test.go
+++ b/internal/e2e/clients_test.go
@@ -82,8 +82,6 @@
 	body := kit.Bytes(1, 200_000)
 	put := kit.Must(c.PutObject(ctx, &s3.PutObjectInput{Bucket: aws.String("photos"), Key: aws.String("k"), Body: bytes.NewReader(body)}))(t)
 	etag := *put.ETag
-	mod := kit.ReadAll
-	_ = mod
 	later, earlier := time.Now().Add(time.Hour).UTC().Format(http.TimeFormat), time.Now().Add(-time.Hour).UTC().Format(http.TimeFormat)
 	for _, x := range []struct {
 		name, value string
