--- a/cmd/chalkstand/main.go
+++ b/cmd/chalkstand/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -11,7 +12,7 @@
 )
 
 func main() {
-	if err := root().Execute(); err != nil {
+	if err := root().ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "chalkstand:", err)
 		os.Exit(1)
 	}
@@ -29,7 +30,7 @@
 runs a gateway on 127.0.0.1:9000 with stand-in nodes inside the process.`,
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	c.AddCommand(serveCommand(), nodeCommand(), checkCommand(), versionCommand())
+	c.AddCommand(serveCommand(), nodeCommand(), checkCommand(), baddayCommand(), replayCommand(), versionCommand())
 	return c
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -303,3 +303,12 @@
 	}
 	return sum
 }
+
+// Shard returns the shard that an object of a bucket belongs to.
+func (g *Gateway) Shard(bucket, key string) int {
+	spread := 0
+	if i := g.cfg.BucketRule(bucket); i >= 0 {
+		spread = g.cfg.Buckets[i].Spread
+	}
+	return int(g.shards.Volume(bucket, spread).Shard(key))
+}
--- a/standin/storage/dataset.go
+++ b/standin/storage/dataset.go
@@ -324,3 +324,10 @@
 	d.buckets[name] = &bucket{created: created, objects: map[string]*object{}}
 	return true
 }
+
+// Store puts an object into a bucket without a request: what was there before.
+func (d *Dataset) Store(bkt, key string, b []byte) {
+	sum := md5.Sum(b)
+	d.put(bkt, key, &object{blob: blob{mem: b, size: int64(len(b))}, etag: hex.EncodeToString(sum[:]), modified: time.Now().Truncate(time.Second),
+		header: map[string]string{"Content-Type": "binary/octet-stream"}}, func(*object) *objectapi.Error { return nil })
+}
--- a/standin/storage/node.go
+++ b/standin/storage/node.go
@@ -81,11 +81,13 @@
 	Op       objectapi.Kind
 	Path     string
 	Key      string // of a keyed write
+	Tag      string // the client's own name for its request (x-amz-meta-tag)
 	Arrived  time.Duration
-	Ended    time.Duration
-	Ran      bool // the work was done
-	Repeat   bool // dropped as a repeat
-	Status   int  // 0: no answer was given
+	Ended    time.Duration // 0: not yet
+	Left     time.Duration // when its connection ended before that; 0: it did not
+	Ran      bool          // the work was done
+	Repeat   bool          // dropped as a repeat
+	Status   int           // 0: no answer was given
 	BadWords string
 }
 
@@ -236,7 +238,12 @@
 // ServeHTTP answers one request.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := n.arrive(r)
+	watch := context.AfterFunc(r.Context(), func() {
+		at := time.Since(n.epoch)
+		n.note(e, func(x *Entry) { x.Left = at })
+	})
 	defer func() {
+		watch()
 		n.mu.Lock()
 		n.inflight--
 		e.Ended = time.Since(n.epoch)
@@ -297,7 +304,7 @@
 // arrive logs a request and counts what it adds to a cold node's load.
 func (n *Node) arrive(r *http.Request) *Entry {
 	h := r.Header
-	e := &Entry{Node: n.cfg.ID, Volume: h.Get("x-chalkstand-volume"), Path: r.RequestURI, Key: h.Get("x-chalkstand-key")}
+	e := &Entry{Node: n.cfg.ID, Volume: h.Get("x-chalkstand-volume"), Path: r.RequestURI, Key: h.Get("x-chalkstand-key"), Tag: h.Get("x-amz-meta-tag")}
 	e.Units, _ = strconv.ParseFloat(h.Get("x-chalkstand-units"), 64)
 	if p := strings.Split(h.Get("x-chalkstand-request"), "/"); len(p) == 3 {
 		e.Gateway = p[0]
@@ -575,3 +582,10 @@
 	}
 	return rep
 }
+
+// Freeze lets the load report stay as it is for a while.
+func (n *Node) Freeze(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reported = time.Now().Add(d)
+}
