--- a/lab/badday/badday.go
+++ b/lab/badday/badday.go
@@ -37,18 +37,18 @@
 
 // Defaults are those of the command.
 func Defaults(seed uint64) Options {
-	return Options{Seed: seed, Day: 20 * time.Second, Gateways: 3, Shards: 8, Volumes: 24, Rate: 260}
+	return Options{Seed: seed, Day: 20 * time.Second, Gateways: 3, Shards: 8, Volumes: 24, Rate: 200}
 }
 
 // The site's figures. They are of this day alone, not of any installation.
 const (
-	perUnit    = 5 * time.Millisecond
+	perUnit    = 25 * time.Millisecond
 	cores      = 2
-	coldFrom   = 0.25
-	warmUp     = 4 * time.Second
-	multiple   = 3.0
+	coldFrom   = 0.12
+	warmUp     = 6 * time.Second
+	multiple   = 1.5
 	span       = time.Second
-	youngLimit = 60.0
+	youngLimit = 8.0
 	grace      = 250 * time.Millisecond
 	remember   = 6 * time.Second
 	limitRate  = 40.0
@@ -186,6 +186,7 @@
 	surge, floodBy float64
 	flooded        int
 	impatient      float64
+	hot            float64 // share of writes that go to one key
 	busy           chan struct{}
 	wg             sync.WaitGroup
 	stop           context.Context
@@ -456,9 +457,17 @@
 		d.set(func() { d.impatient = t.Times })
 		d.sleep(t.For.D())
 		d.set(func() { d.impatient = 0 })
+	case HotKey:
+		d.set(func() { d.hot, d.flooded = t.Times, t.Which%len(d.vols) })
+		d.sleep(t.For.D())
+		d.set(func() { d.hot = 0 })
 	case DrainWave:
 		for i := range t.Count {
-			d.replace((t.Which+i)%len(d.nodes), t.For.D()/2)
+			gap := time.Duration(0)
+			if i%2 == 1 { // the successor is late
+				gap = min(t.For.D()/4, 800*time.Millisecond)
+			}
+			d.replace((t.Which+i)%len(d.nodes), gap, t.For.D()/2)
 			if !d.sleep(t.For.D() / time.Duration(t.Count)) {
 				return
 			}
@@ -493,12 +502,18 @@
 	d.mu.Unlock()
 }
 
-// replace drains a shard's node; its successor is cold and takes the data over.
-func (d *day) replace(shard int, linger time.Duration) {
+// replace drains a shard's node; its successor, which may be late, is cold and
+// takes the data over.
+func (d *day) replace(shard int, gap, linger time.Duration) {
 	d.mu.Lock()
 	was := d.nodes[shard]
 	entry := d.list[was.ID()]
 	d.mu.Unlock()
+	entry.state = choice.Draining
+	if gap > 0 {
+		d.announce(map[string]listed{was.ID(): entry})
+		d.sleep(gap)
+	}
 	if d.startNode(shard, true) != nil {
 		return
 	}
@@ -506,7 +521,6 @@
 	now := d.nodes[shard]
 	successor := d.list[now.ID()]
 	d.mu.Unlock()
-	entry.state = choice.Draining
 	d.announce(map[string]listed{was.ID(): entry, now.ID(): successor})
 	d.wg.Go(func() {
 		d.sleep(max(linger, time.Second))
@@ -594,7 +608,7 @@
 		d.mu.Lock()
 		rate := d.o.Rate * d.surge
 		extra := d.o.Rate / float64(len(d.vols)) * (d.floodBy - 1)
-		flooded, impatient := d.flooded, d.impatient
+		flooded, impatient, hot := d.flooded, d.impatient, d.hot
 		d.mu.Unlock()
 		next += time.Duration(-math.Log(1-rng.Float64()) / (rate + extra) * float64(time.Second))
 		if !d.sleep(next - d.since()) {
@@ -608,6 +622,10 @@
 		if rng.Float64() < impatient {
 			w.leave = time.Duration(20+rng.IntN(200)) * time.Millisecond
 		}
+		if rng.Float64() < hot && w.class == classWrite {
+			w.path, w.key = "/"+d.vols[flooded]+"/o-0", d.vols[flooded]+"/o-0"
+			vol = flooded
+		}
 		gw := (vol + rng.IntN(2)) % d.o.Gateways
 		select {
 		case d.busy <- struct{}{}:
--- /dev/null
+++ b/lab/badday/badday_test.go
@@ -0,0 +1,115 @@
+package badday
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chalkstand/choice"
+	"chalkstand/lab/rules"
+	"chalkstand/trace"
+)
+
+func TestScriptsReadAndWrite(t *testing.T) {
+	s := Generate(7, 20*time.Second)
+	again, err := Parse([]byte("// a day\n" + s.Text()))
+	if err != nil || !slices.Equal(s, again) {
+		t.Fatalf("%v\n%v\n%v", err, s, again)
+	}
+	for _, k := range Kinds {
+		if !strings.Contains(s.Text(), `"`+k+`"`) {
+			t.Errorf("no %s in a generated day", k)
+		}
+	}
+	for _, bad := range []string{`[{"kind": "rain"}]`, `[{"kind": "surge", "times": -1}]`, `{`} {
+		if _, err := Parse([]byte(bad)); err == nil {
+			t.Errorf("%s is taken", bad)
+		}
+	}
+}
+
+func play(t *testing.T, o Options) *Report {
+	t.Helper()
+	r, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// A bad day with every kind of trouble: all rules are kept, and what the
+// dispatchers heard plays again to the same actions.
+func TestBadDayKeepsTheRules(t *testing.T) {
+	o := Defaults(1)
+	o.Day = 12 * time.Second
+	var mu sync.Mutex
+	var records []*bytes.Buffer
+	var writers []*trace.Writer
+	o.Trace = func(_ string, cfg choice.Config, seed uint64) func(time.Duration, choice.Event, []choice.Action) {
+		b := new(bytes.Buffer)
+		w, err := trace.NewWriter(b, cfg, seed, 1<<17)
+		if err != nil {
+			t.Error(err)
+			return nil
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		records, writers = append(records, b), append(writers, w)
+		return w.Record
+	}
+	r := play(t, o)
+	var text strings.Builder
+	r.Write(&text)
+	t.Log("\n" + text.String())
+	if len(r.Breaches) > 0 || r.Attempts < 500 || r.Classes[classRead].Served < 300 {
+		t.Fail()
+	}
+	if len(records) != o.Gateways+1 { // one came back after its crash
+		t.Errorf("%d lives of gateways", len(records))
+	}
+	for i, w := range writers {
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+		res, err := trace.Replay(records[i])
+		if err != nil || res.Split != nil || res.Torn || res.Events < 100 {
+			t.Errorf("replay of life %d: %+v, %v", i, res, err)
+		}
+	}
+}
+
+// With a guard taken away its rule breaks, and the checker says so.
+func TestCheckerMissesEachGuard(t *testing.T) {
+	everyNode := func(kind string, times float64) (s Script) {
+		for i := range 8 {
+			s = append(s, Trouble{At: 300, For: 9000, Kind: kind, Which: i, Times: times})
+		}
+		return s
+	}
+	for guard, x := range map[string]struct {
+		script   Script
+		gateways int
+	}{
+		"budget":  {everyNode(Resets, 0.5), 3},
+		"limits":  {Script{{At: 300, For: 9000, Kind: Flood, Which: 0, Times: 12}}, 3},
+		"order":   {Script{{At: 300, For: 9000, Kind: HotKey, Which: 2, Times: 0.9}}, 3},
+		"effects": {everyNode(LoseAnswer, 0.3), 3},
+		"cold": {Script{{At: 100, For: 9000, Kind: Surge, Times: 3}, {At: 1000, For: 1500, Kind: DrainWave, Count: 4},
+			{At: 1000, For: 1500, Kind: DrainWave, Which: 4, Count: 4}}, 12},
+		"drains": {Script{{At: 100, For: 9000, Kind: Surge, Times: 2}, {At: 500, For: 4000, Kind: DrainWave, Count: 4}}, 3},
+		"time":   {everyNode(Silent, 0), 3},
+	} {
+		t.Run(guard, func(t *testing.T) {
+			o := Defaults(2)
+			o.Day, o.Script, o.Withhold, o.Gateways = 4500*time.Millisecond, x.script, guard, x.gateways
+			r := play(t, o)
+			if !slices.ContainsFunc(r.Breaches, func(b rules.Breach) bool { return b.Rule == Guards[guard] }) {
+				t.Errorf("without the guard of %q the rule %q is still kept", guard, Guards[guard])
+			}
+		})
+	}
+}
--- a/lab/badday/script.go
+++ b/lab/badday/script.go
@@ -28,10 +28,11 @@
 	HalfAnswer = "half"        // a share of the answers breaks off
 	Impatient  = "impatient"   // clients leave soon, and ask again
 	Resets     = "resets"      // a node resets a share of its connections
+	HotKey     = "hot_key"     // a share of all writes goes to one key
 )
 
 // Kinds lists the kinds of trouble.
-var Kinds = []string{Surge, Flood, DrainWave, Crash, LateReport, Silent, SlowNode, Die, LoseAnswer, HalfAnswer, Impatient, Resets}
+var Kinds = []string{Surge, Flood, DrainWave, Crash, LateReport, Silent, SlowNode, Die, LoseAnswer, HalfAnswer, Impatient, Resets, HotKey}
 
 // Trouble is one line of a script.
 type Trouble struct {
@@ -73,7 +74,7 @@
 			t.Times = 4 + 8*rng.Float64()
 		case LoseAnswer, HalfAnswer, Resets:
 			t.Times = 0.05 + 0.15*rng.Float64()
-		case Impatient:
+		case Impatient, HotKey:
 			t.Times = 0.3 + 0.4*rng.Float64()
 		}
 		s = append(s, t)
