--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -254,7 +254,13 @@
 	if i == 0 || i == len(line) || line[i] != ':' {
 		return Header{}, bad("a header line is not NAME: VALUE")
 	}
-	v := bytes.Trim(line[i+1:], " \t")
+	v := line[i+1:] // sliced, not trimmed by bytes.Trim: an empty value is not nil
+	for len(v) > 0 && (v[0] == ' ' || v[0] == '\t') {
+		v = v[1:]
+	}
+	for len(v) > 0 && (v[len(v)-1] == ' ' || v[len(v)-1] == '\t') {
+		v = v[:len(v)-1]
+	}
 	for _, c := range v {
 		if c < ' ' && c != '\t' || c == 0x7f {
 			return Header{}, bad("a header value holds a control character")
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,74 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"chalkstand/choice"
+)
+
+func TestKeysSpreadEvenly(t *testing.T) {
+	const shards, keys = 16, 64000
+	v := New(shards).Volume("photos", 0)
+	counts := make([]int, shards)
+	for i := range keys {
+		counts[v.Shard(fmt.Sprint("line-7/part-", i))]++
+	}
+	for s, n := range counts {
+		if n < keys/shards*9/10 || n > keys/shards*11/10 {
+			t.Errorf("shard %d holds %d of %d keys", s, n, keys)
+		}
+	}
+}
+
+// A further shard takes keys, and no key moves between the others.
+func TestFurtherShardMovesOnlyWhatItTakes(t *testing.T) {
+	a, b := New(8).Volume("photos", 0), New(9).Volume("photos", 0)
+	moved := 0
+	for i := range 20000 {
+		k := fmt.Sprint(i)
+		if x, y := a.Shard(k), b.Shard(k); x != y {
+			if y != 8 {
+				t.Fatalf("%s moved from %d to %d", k, x, y)
+			}
+			moved++
+		}
+	}
+	if moved < 20000/9*9/10 || moved > 20000/9*11/10 {
+		t.Errorf("%d of 20000 moved", moved)
+	}
+}
+
+func TestSpreadOfAVolume(t *testing.T) {
+	m := New(32)
+	used := map[choice.Shard]int{}
+	for i := range 400 {
+		v := m.Volume(fmt.Sprint("vol-", i), 3)
+		if len(v.Shards()) != 3 || v.Shards()[0] >= v.Shards()[1] || v.Shards()[1] >= v.Shards()[2] {
+			t.Fatalf("%v", v.Shards())
+		}
+		again := New(32).Volume(fmt.Sprint("vol-", i), 3)
+		for k := range 20 {
+			s := v.Shard(fmt.Sprint(k))
+			if s != again.Shard(fmt.Sprint(k)) {
+				t.Fatal("two maps disagree")
+			}
+			used[s]++
+		}
+	}
+	if len(used) != 32 {
+		t.Errorf("volumes lie on %d of 32 shards", len(used))
+	}
+}
+
+func BenchmarkShard(b *testing.B) {
+	for _, n := range []int{4, 64, 512} {
+		v := New(n).Volume("photos", 0)
+		b.Run(fmt.Sprint(n, "-shards"), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				v.Shard("line-7/part-0000123.jpg")
+			}
+		})
+	}
+}
