chalkstand bench beside httputil's proxy; flowing bodies leave the dispatcher's depth

Cause found by it: four uploads of 64 MiB at once were refused, as the age of an upload counted as the node's delay. What a body's passing takes is the client's and the link's doing. Change: lab/bench and chalkstand bench; the exchange is told when a body flows and lets choice go on, for up to streams_per_node bodies at a node, beyond which a stream keeps its place so that the node counts as busy; a node that stops taking a body is given up; the stand-in forgets repeats by a queue (its scan had made small writes slow).

--- /dev/null
+++ b/cmd/chalkstand/bench.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	v4 "github.com/aws/aws-sdk-go-v2/aws/signer/v4"
+	"github.com/spf13/cobra"
+
+	"chalkstand/lab/bench"
+)
+
+func benchCommand() *cobra.Command {
+	var each time.Duration
+	var conns, rounds, big int
+	c := &cobra.Command{Use: "bench", Short: "Measure a gateway beside a plain reverse proxy on the same node",
+		Long: `Measure a gateway on one core beside net/http/httputil's reverse proxy on one core, both
+before the same stand-in node (two cores), each in a process of its own on loopback. The gateway
+checks a signature and makes every decision; the proxy passes on. Rounds alternate between the peers.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runBench(cmd.OutOrStdout(), each, conns, rounds, big)
+		}}
+	c.Flags().DurationVar(&each, "each", 3*time.Second, "length of one measurement")
+	c.Flags().IntVar(&conns, "conns", 32, "connections for the highest rate")
+	c.Flags().IntVar(&rounds, "rounds", 3, "rounds; the median one is shown")
+	c.Flags().IntVar(&big, "mib", 64, "size of large bodies, MiB")
+	c.AddCommand(&cobra.Command{Use: "proxy TARGET", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), ln.Addr())
+			return bench.Proxy(ln, args[0])
+		}})
+	return c
+}
+
+// freePort finds a port that nobody listens on.
+func freePort() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func runBench(out io.Writer, each time.Duration, conns, rounds, big int) error {
+	dir, err := os.MkdirTemp("", "chalkstand-bench")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	node, err := bench.Start(2, "", "node", "--queue", "4096")
+	if err != nil {
+		return err
+	}
+	defer node.Stop()
+	listen, err := freePort()
+	if err != nil {
+		return err
+	}
+	file, err := bench.WriteConfig(dir, listen, node.Addr)
+	if err != nil {
+		return err
+	}
+	gw, err := bench.Start(1, listen, "serve", "--config", file)
+	if err != nil {
+		return err
+	}
+	defer gw.Stop()
+	proxy, err := bench.Start(1, "", "bench", "proxy", node.Addr)
+	if err != nil {
+		return err
+	}
+	defer proxy.Stop()
+	peers := []bench.Peer{{Name: "node alone", Addr: node.Addr}, {Name: "gateway", Addr: gw.Addr, PID: gw.PID()}, {Name: "httputil", Addr: proxy.Addr, PID: proxy.PID()}}
+	if err := seed(node.Addr, big); err != nil {
+		return err
+	}
+	target := func(p bench.Peer, method, path string, body []byte) bench.Target {
+		return bench.Target{Peer: p, Method: method, Text: presigned(p.Addr, method, path, len(body)), Body: body}
+	}
+	fmt.Fprintf(out, "%-34s %-11s %10s %9s %9s %9s %10s %7s\n", "", "peer", "a second", "median", "99 %", "MiB/s", "cpu/req", "not 2xx")
+	show := func(what string, method, path string, body []byte, conns int, peers []bench.Peer) error {
+		all := make([][]bench.Figures, len(peers))
+		for range rounds {
+			for i, p := range peers {
+				f, err := bench.Run(target(p, method, path, body), conns, each)
+				if err != nil {
+					return fmt.Errorf("%s, %s: %w", what, p.Name, err)
+				}
+				all[i] = append(all[i], f)
+			}
+		}
+		for i := range peers {
+			f := bench.Median(all[i])
+			q := func(p float64) time.Duration { return time.Duration(f.Latency.ValueAtQuantile(p)) * time.Microsecond }
+			fmt.Fprintf(out, "%-34s %-11s %10.0f %9v %9v %9.0f %10v %7d\n", what, f.Name, f.PerSecond(), q(50), q(99), float64(f.Bytes)/(1<<20)/f.Took.Seconds(),
+				(f.CPU / time.Duration(max(f.Requests, 1))).Round(time.Microsecond/10), f.Other)
+		}
+		return nil
+	}
+	if err := show("GET 4 KiB, 1 connection", "GET", "/photos/small", nil, 1, peers); err != nil {
+		return err
+	}
+	if err := show("GET 4 KiB, "+strconv.Itoa(conns)+" connections", "GET", "/photos/small", nil, conns, peers); err != nil {
+		return err
+	}
+	if err := show("PUT 4 KiB, "+strconv.Itoa(conns)+" connections", "PUT", "/photos/w", make([]byte, 4096), conns, peers); err != nil {
+		return err
+	}
+	before := [2]int64{bench.Peak(gw.PID()), bench.Peak(proxy.PID())}
+	large := fmt.Sprintf("%d MiB, 4 connections", big)
+	if err := show("GET "+large, "GET", "/photos/large", nil, 4, peers); err != nil {
+		return err
+	}
+	if err := show("PUT "+large, "PUT", "/photos/w", make([]byte, big<<20), 4, peers); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "\npeak memory before and after the large bodies: gateway %.1f and %.1f MiB, httputil %.1f and %.1f MiB\n",
+		mib(before[0]), mib(bench.Peak(gw.PID())), mib(before[1]), mib(bench.Peak(proxy.PID())))
+	return nil
+}
+
+func mib(n int64) float64 { return float64(n) / (1 << 20) }
+
+// seed stores the objects that are read, straight at the node.
+func seed(addr string, big int) error {
+	for _, x := range []struct {
+		path string
+		body []byte
+	}{{"/photos", nil}, {"/photos/small", make([]byte, 4096)}, {"/photos/large", make([]byte, big<<20)}} {
+		r, err := http.NewRequest("PUT", "http://"+addr+x.path, bytes.NewReader(x.body))
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return err
+		}
+		resp.Body.Close()
+		if resp.StatusCode != 200 {
+			return fmt.Errorf("PUT %s at the node: %s", x.path, resp.Status)
+		}
+	}
+	return nil
+}
+
+// presigned writes the head of a request that holds for as long as a run takes.
+func presigned(addr, method, path string, length int) []byte {
+	r, err := http.NewRequest(method, "http://"+addr+path+"?X-Amz-Expires=86400", nil)
+	if err != nil {
+		panic(err)
+	}
+	s := v4.NewSigner(func(o *v4.SignerOptions) { o.DisableURIPathEscaping = true })
+	cred := aws.Credentials{AccessKeyID: bench.KeyID, SecretAccessKey: bench.Secret}
+	u, _, err := s.PresignHTTP(context.Background(), cred, r, "UNSIGNED-PAYLOAD", "s3", "us-east-1", time.Now())
+	if err != nil {
+		panic(err)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, strings.TrimPrefix(u, "http://"+addr), addr)
+	if method == "PUT" {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", length)
+	}
+	return []byte(b.String() + "\r\n")
+}
--- a/exchange/api.go
+++ b/exchange/api.go
@@ -24,10 +24,13 @@
 	Choice choice.Config
 	Seed   uint64
 
-	ConnsPerNode int           // bound on connections to one node, those being opened included
-	IdleFor      time.Duration // an unused connection is closed after this
-	MaxAge       time.Duration // a connection is not used again when it is older
-	Connect      time.Duration // bound on opening a connection
+	ConnsPerNode int // bound on connections to one node, those being opened included
+	// Streams bounds the bodies that flow to or from one node without a place in
+	// choice's depth. It must be below ConnsPerNode: the rest is for what choice sends.
+	Streams int
+	IdleFor time.Duration // an unused connection is closed after this
+	MaxAge  time.Duration // a connection is not used again when it is older
+	Connect time.Duration // bound on opening a connection
 	// Margin is kept before a client's deadline for the way of the answer.
 	Margin time.Duration
 	// MaxCalls bounds the requests held and out together; beyond it a request is
@@ -39,6 +42,8 @@
 	switch {
 	case c.ConnsPerNode < 1:
 		return errors.New("ConnsPerNode: want at least 1")
+	case c.Streams < 0 || c.Streams >= c.ConnsPerNode:
+		return errors.New("Streams: want 0 to below ConnsPerNode")
 	case c.IdleFor <= 0 || c.MaxAge <= 0 || c.Connect <= 0:
 		return errors.New("IdleFor, MaxAge, Connect: want above 0")
 	case c.MaxCalls < 1:
@@ -75,8 +80,9 @@
 // been, or is being, answered by the caller.
 type Abandon struct{ ID choice.RequestID }
 
-// Waiting tells that the request's body waits for its client, not for the node.
-type Waiting struct{ ID choice.RequestID }
+// Flowing tells that the node takes the request's body as it comes: from here on
+// the client and the link set the pace.
+type Flowing struct{ ID choice.RequestID }
 
 // BodySent tells that the whole body has gone to the node.
 type BodySent struct{ ID choice.RequestID }
@@ -124,7 +130,7 @@
 func (Begin) event()    {}
 func (Gone) event()     {}
 func (Abandon) event()  {}
-func (Waiting) event()  {}
+func (Flowing) event()  {}
 func (BodySent) event() {}
 func (Nodes) event()    {}
 func (Dialed) event()   {}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -61,8 +61,11 @@
 	bodySent bool
 	late     bool // the last attempt ended by time
 	timer    *timer
-	settled  bool // choice has given the final word
-	once     bool // its body cannot be sent twice
+	settled  bool          // choice has given the final word
+	once     bool          // its body cannot be sent twice
+	streams  *node         // among whose streams it counts
+	headAt   time.Duration // when its answer's head was passed on, while choice waits for its end
+	headWord Word
 }
 
 type connState int
@@ -86,8 +89,9 @@
 
 type node struct {
 	Node
-	conns int
-	idle  []*conn // the last used at the end
+	conns   int
+	streams int
+	idle    []*conn // the last used at the end
 }
 
 // New checks the settings and returns an exchange that knows no node yet.
@@ -121,8 +125,8 @@
 		x.onGone(e.ID)
 	case Abandon:
 		x.onGone(e.ID)
-	case Waiting:
-		x.onWaiting(e.ID)
+	case Flowing:
+		x.onFlowing(e.ID)
 	case BodySent:
 		x.onBodySent(e.ID)
 	case Nodes:
@@ -205,6 +209,10 @@
 func (x *Exchange) forget(c *call) {
 	c.stage = done
 	x.stop(c)
+	if c.streams != nil {
+		c.streams.streams--
+		c.streams = nil
+	}
 	delete(x.calls, c.req.ID)
 }
 
@@ -340,18 +348,22 @@
 	case out:
 		x.tell(choice.Gone{ID: id})
 		x.give(c, choice.Cancelled, Word{}, true)
+	case passing:
+		x.served(c)
 	}
 	x.detach(c)
 	x.forget(c)
 }
 
-// onWaiting lets choice go on without a call whose client keeps its node waiting:
-// the node's silence is not the node's, and must not count as delay there. A key
-// in turn stays taken. It may do harm where a client's stalls hide a slow node;
-// that node then shows in its other answers.
-func (x *Exchange) onWaiting(id choice.RequestID) {
+// onFlowing lets choice go on without a call whose body flows through: how long
+// that takes is the client's and the link's doing, and must not count as the
+// node's delay, by which others are refused. A key in turn stays taken. It may do
+// harm where a slow client hides a slow node; that node then shows in its other
+// answers. Beyond the bound on streams a call keeps its place in choice's depth,
+// so that a node full of streams counts as busy.
+func (x *Exchange) onFlowing(id choice.RequestID) {
 	c := x.calls[id]
-	if c == nil || c.stage != out || c.bodySent || c.class.InTurn && c.req.Key != "" {
+	if c == nil || c.stage != out || c.bodySent || c.class.InTurn && c.req.Key != "" || !x.stream(c) {
 		return
 	}
 	x.give(c, choice.Cancelled, Word{}, true)
@@ -359,6 +371,16 @@
 	x.stop(c)
 }
 
+// stream takes a place for a call among its node's streams.
+func (x *Exchange) stream(c *call) bool {
+	n := c.conn.node
+	if c.streams == nil && n.streams < x.cfg.Streams {
+		n.streams++
+		c.streams = n
+	}
+	return c.streams != nil
+}
+
 // onBodySent starts the node's own time for a call that choice has let go.
 func (x *Exchange) onBodySent(id choice.RequestID) {
 	if c := x.calls[id]; c != nil {
@@ -466,9 +488,22 @@
 	if k == nil || k.call == nil || k.call.stage != out && k.call.stage != released {
 		return
 	}
-	x.give(k.call, choice.Served, e.Word, true)
-	k.call.stage = passing
-	x.stop(k.call)
+	c := k.call
+	c.stage, c.headAt, c.headWord = passing, x.now, e.Word
+	x.stop(c)
+	if x.stream(c) {
+		x.served(c)
+	}
+}
+
+// served tells choice of an answer that streams: it took until its head. What
+// comes after is paced by the client.
+func (x *Exchange) served(c *call) {
+	if !c.settled {
+		c.settled = true
+		x.tell(choice.Outcome{ID: c.req.ID, Attempt: c.attempt, Status: choice.Served, Concluded: true, Took: c.headAt - c.sentAt,
+			Use: c.headWord.Use, Elsewhere: c.headWord.Elsewhere, Report: c.headWord.Report})
+	}
 }
 
 func (x *Exchange) onAnswered(e Answered) {
@@ -483,6 +518,7 @@
 	}
 	switch {
 	case c.stage == passing:
+		x.served(c)
 		x.act(Deliver{ID: c.req.ID, Lane: c.lane, Conn: k.id})
 		x.forget(c)
 	case c.stage == released && e.Word.Status != choice.Served:
@@ -525,6 +561,7 @@
 	case out:
 		x.end(c, choice.Dropped, Word{})
 	case passing:
+		x.served(c)
 		x.act(Cut{ID: c.req.ID, Lane: c.lane})
 		x.forget(c)
 	case released:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,7 +93,7 @@
 	g.SetKeys(cfg.Keys)
 	g.verify = &sigv4.Verifier{Region: cfg.Region, Skew: cfg.Limits.Skew.D(), Secret: g.secret}
 	l := cfg.Limits
-	x, err := exchange.New(exchange.Config{Choice: cfg.Choice(), Seed: g.seed, ConnsPerNode: l.ConnsPerNode, IdleFor: l.NodeIdle.D(),
+	x, err := exchange.New(exchange.Config{Choice: cfg.Choice(), Seed: g.seed, ConnsPerNode: l.ConnsPerNode, Streams: l.Streams, IdleFor: l.NodeIdle.D(),
 		MaxAge: l.NodeAge.D(), Connect: l.Connect.D(), Margin: l.Margin.D(), MaxCalls: l.Calls})
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -18,7 +18,7 @@
 	chunked bool      // towards the node: the length or a checksum comes at the end
 	trailer string    // the checksum's name, with chunked
 	last    []byte    // held back
-	told    bool      // that the client is what is waited for
+	flowing bool      // the exchange was told that the body flows
 	ended   bool
 }
 
@@ -59,7 +59,11 @@
 		u.finish()
 		return used
 	}
-	if u.k.c.Pending() > 0 {
+	if !u.flowing {
+		u.flowing = true
+		c.lane.tell(exchange.Flowing{ID: u.call.id})
+	}
+	if u.k != nil && u.k.call == u.call && u.k.c.Pending() > 0 {
 		c.c.Pause()
 	}
 	return used
@@ -101,22 +105,20 @@
 	u.k.sent()
 }
 
-// check looks for a client that has stopped sending.
+// check looks for a client that has stopped sending, or a node that has stopped
+// taking.
 func (u *upload) check(waited time.Duration) {
 	c := u.t.conn
 	l := c.lane.g.cfg.Limits
-	if u.k == nil || u.k.call != u.call || u.k.c.Pending() > 0 {
-		return // the node is waited for
-	}
 	switch {
-	case waited > l.ClientBody.D():
+	case u.k == nil || u.k.call != u.call || waited <= l.ClientBody.D():
+	case u.k.c.Pending() > 0:
+		u.k.lose()
+	default:
 		u.ended = true
 		c.lane.take(u.call.id)
 		c.lane.tell(exchange.Abandon{ID: u.call.id})
 		u.t.close = true
 		u.t.refuseBody(objectapi.Errorf("RequestTimeout", "Your socket connection to the server was not read from or written to within the timeout period."))
-	case waited > l.ClientStall.D() && !u.told:
-		u.told = true
-		c.lane.tell(exchange.Waiting{ID: u.call.id})
 	}
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -262,11 +262,14 @@
 		field string
 		have  Duration
 	}{{"node_idle", l.NodeIdle}, {"node_age", l.NodeAge}, {"connect", l.Connect}, {"client_head", l.ClientHead}, {"client_idle", l.ClientIdle},
-		{"client_body", l.ClientBody}, {"client_stall", l.ClientStall}, {"skew", l.Skew}, {"drain_wait", l.DrainWait}} {
+		{"client_body", l.ClientBody}, {"skew", l.Skew}, {"drain_wait", l.DrainWait}} {
 		if c.have <= 0 {
 			return "limits." + c.field, `want a time above 0, such as "30s"`
 		}
 	}
+	if l.Streams < 0 || l.Streams >= l.ConnsPerNode {
+		return "limits.streams_per_node", "want 0 to below conns_per_node: the rest is for what the dispatcher sends"
+	}
 	if l.Margin < 0 {
 		return "limits.margin", "want 0 or more"
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -169,16 +169,16 @@
 	Conns        int      `json:"conns"`     // client connections
 	Calls        int      `json:"calls"`     // requests held and out
 	ConnsPerNode int      `json:"conns_per_node"`
+	Streams      int      `json:"streams_per_node"` // bodies that flow beside the dispatcher's depth
 	NodeIdle     Duration `json:"node_idle"`
 	NodeAge      Duration `json:"node_age"`
 	Connect      Duration `json:"connect"`
-	Margin       Duration `json:"margin"`       // kept before a deadline for the answer's way
-	ClientHead   Duration `json:"client_head"`  // from a head's first byte to its last
-	ClientIdle   Duration `json:"client_idle"`  // between requests
-	ClientBody   Duration `json:"client_body"`  // without a byte of a body, either way
-	ClientStall  Duration `json:"client_stall"` // after which a waiting body is not the node's delay
-	Skew         Duration `json:"skew"`         // between a client's clock and ours
-	DrainWait    Duration `json:"drain_wait"`   // for requests taken, at the end
+	Margin       Duration `json:"margin"`      // kept before a deadline for the answer's way
+	ClientHead   Duration `json:"client_head"` // from a head's first byte to its last
+	ClientIdle   Duration `json:"client_idle"` // between requests
+	ClientBody   Duration `json:"client_body"` // without a byte of a body, either way
+	Skew         Duration `json:"skew"`        // between a client's clock and ours
+	DrainWait    Duration `json:"drain_wait"`  // for requests taken, at the end
 }
 
 // Log is how much is logged.
@@ -194,8 +194,8 @@
 		Rules: Rules{MaxAttempts: 3, MaxRetryAfter: ms(2000), Settle: ms(200), Round: ms(5), UsualUnits: 1, LargestUnits: 64,
 			Budget: Budget{Free: 3, Ratio: 0.1, Span: ms(5000)}},
 		Limits: Limits{Line: 8 << 10, Headers: 100, Head: 32 << 10, Replay: 64 << 10, Document: 4 << 20, Pipelined: 32 << 10, FanOut: 16,
-			Conns: 8192, Calls: 8192, ConnsPerNode: 128, NodeIdle: ms(30000), NodeAge: ms(600000), Connect: ms(1000), Margin: ms(20),
-			ClientHead: ms(10000), ClientIdle: ms(120000), ClientBody: ms(30000), ClientStall: ms(300), Skew: ms(15 * 60000),
+			Conns: 8192, Calls: 8192, ConnsPerNode: 128, Streams: 64, NodeIdle: ms(30000), NodeAge: ms(600000), Connect: ms(1000), Margin: ms(20),
+			ClientHead: ms(10000), ClientIdle: ms(120000), ClientBody: ms(30000), Skew: ms(15 * 60000),
 			DrainWait: ms(30000)},
 		Log: Log{Level: "info"}}
 }
--- a/standin/storage/dataset.go
+++ b/standin/storage/dataset.go
@@ -30,6 +30,7 @@
 	buckets map[string]*bucket
 	uploads map[string]*upload
 	repeats map[string]*repeat
+	ended   []string // keys of repeats in the order in which they are forgotten
 	nextID  uint64
 }
 
