--- /dev/null
+++ b/gateway/core_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"chalkstand/choice"
+	"chalkstand/exchange"
+)
+
+// BenchmarkHandOver compares the ways of handing an event to the one owner of the
+// decisions: the lock that is used, and a goroutine with a channel, its peer.
+func BenchmarkHandOver(b *testing.B) {
+	cfg := choice.Config{Peers: 1, Classes: []choice.Class{{Aim: time.Second, Deadline: 2 * time.Second}}, Plans: []choice.Plan{{Weight: 1}}}
+	x, err := exchange.New(exchange.Config{Choice: cfg, Seed: 1, ConnsPerNode: 8,
+		Streams: 4, IdleFor: time.Second, MaxAge: time.Minute, Connect: time.Second, MaxCalls: 8})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("lock", func(b *testing.B) {
+		c := newCore(x)
+		b.ReportAllocs()
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				c.tell(nil, exchange.Gone{ID: 1})
+			}
+		})
+	})
+	b.Run("goroutine", func(b *testing.B) {
+		type ask struct {
+			ev   exchange.Event
+			done chan struct{}
+		}
+		in := make(chan ask, 256)
+		go func() {
+			for a := range in {
+				x.Handle(0, a.ev)
+				a.done <- struct{}{}
+			}
+		}()
+		b.ReportAllocs()
+		b.RunParallel(func(pb *testing.PB) {
+			done := make(chan struct{}, 1)
+			for pb.Next() {
+				in <- ask{exchange.Gone{ID: 1}, done}
+				<-done
+			}
+		})
+		close(in)
+	})
+}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -208,6 +208,9 @@
 
 // rangeSize returns how many bytes a range asks for, -1 where its head does not say.
 func rangeSize(v []byte) int64 {
+	if v == nil {
+		return -1
+	}
 	s, ok := strings.CutPrefix(string(v), "bytes=")
 	first, last, dash := strings.Cut(s, "-")
 	z, err := strconv.ParseInt(last, 10, 64)
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -237,6 +237,9 @@
 	c.polled = want
 }
 
+// readsAtOnce bounds the reads of one event.
+const readsAtOnce = 8
+
 func (c *Conn) read() {
 	n, err := unix.Read(c.fd, c.loop.buf[:])
 	switch {
@@ -250,6 +253,17 @@
 		return
 	}
 	c.offer(c.loop.buf[:n])
+	// A full read has more behind it. A few reads at a time save a wait for the next
+	// event; no more, so that one large body does not hold up the loop's others.
+	for range readsAtOnce - 1 {
+		if n < ReadSize || c.fd < 0 || c.paused || c.closing {
+			return
+		}
+		if n, err = unix.Read(c.fd, c.loop.buf[:]); n <= 0 {
+			return // the next event tells why
+		}
+		c.offer(c.loop.buf[:n])
+	}
 }
 
 // offer shows the handler what is kept and what is new, and keeps the rest.
--- a/internal/sigv4/sigv4.go
+++ b/internal/sigv4/sigv4.go
@@ -348,12 +348,12 @@
 			continue
 		}
 		rk, rv, _ := strings.Cut(p, "=")
-		k, ok1 := Unescape(rk, true)
-		v, ok2 := Unescape(rv, true)
+		k, ok1 := canonical(rk)
+		v, ok2 := canonical(rv)
 		if !ok1 || !ok2 {
 			return nil, &Error{400, "InvalidURI", "The query is not validly escaped."}
 		}
-		pairs = append(pairs, pair{string(AppendEscape(nil, k, false)), string(AppendEscape(nil, v, false))})
+		pairs = append(pairs, pair{k, v})
 	}
 	slices.SortFunc(pairs, func(x, y pair) int {
 		if c := strings.Compare(x.k, y.k); c != 0 {
@@ -370,14 +370,43 @@
 	return b, nil
 }
 
+// canonical escapes a raw part of a query anew, in the one form that is signed.
+// What has that form already, as clients mostly send it, is returned as it is.
+func canonical(raw string) (string, bool) {
+	for i := 0; i < len(raw); i++ {
+		c := raw[i]
+		if unreserved(c) {
+			continue
+		}
+		if c != '%' || i+2 >= len(raw) || !upperHex(raw[i+1]) || !upperHex(raw[i+2]) || unreserved(unhex(raw[i+1])<<4|unhex(raw[i+2])) {
+			plain, ok := Unescape(raw, true)
+			return string(AppendEscape(nil, plain, false)), ok
+		}
+		i += 2
+	}
+	return raw, true
+}
+
+func unreserved(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_' || c == '.' || c == '~'
+}
+
+func upperHex(c byte) bool { return '0' <= c && c <= '9' || 'A' <= c && c <= 'F' }
+
+func unhex(c byte) byte {
+	if c <= '9' {
+		return c - '0'
+	}
+	return c - 'A' + 10
+}
+
 // AppendEscape appends s in the specification's URI encoding: all but unreserved
 // characters as %XX; slash kept where asked.
 func AppendEscape(b []byte, s string, slash bool) []byte {
 	const digits = "0123456789ABCDEF"
 	for i := 0; i < len(s); i++ {
 		c := s[i]
-		if 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' ||
-			c == '-' || c == '_' || c == '.' || c == '~' || c == '/' && slash {
+		if unreserved(c) || c == '/' && slash {
 			b = append(b, c)
 		} else {
 			b = append(b, '%', digits[c>>4], digits[c&15])
--- a/internal/sigv4/sigv4_test.go
+++ b/internal/sigv4/sigv4_test.go
@@ -36,9 +36,17 @@
 			t.Errorf("%q: back %q", want, back)
 		}
 	}
+	for in, want := range map[string]string{"a-b_c.~9": "a-b_c.~9", "%2F": "%2F", "%2f": "%2F", "%41": "A", "a+b": "a%20b", "a/b": "a%2Fb", "a=b": "a%3Db"} {
+		if got, ok := canonical(in); !ok || got != want {
+			t.Errorf("%q: canonical %q", in, got)
+		}
+	}
 	for _, bad := range []string{"%", "%4", "a%zz"} {
 		if _, ok := Unescape(bad, false); ok {
 			t.Errorf("%q is taken", bad)
 		}
+		if _, ok := canonical(bad); ok {
+			t.Errorf("%q is taken in a query", bad)
+		}
 	}
 }
