--- a/cmd/chalkstand/serve.go
+++ b/cmd/chalkstand/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -23,6 +24,7 @@
 	"chalkstand/gateway"
 	"chalkstand/internal/settings"
 	"chalkstand/standin/storage"
+	"chalkstand/trace"
 )
 
 func checkCommand() *cobra.Command {
@@ -77,7 +79,12 @@
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	opts := []gateway.Option{gateway.WithLogger(log), gateway.WithRegistry(reg)}
-	g, err := gateway.New(*s, opts...)
+	record, stopRecord, err := startTrace(s, log)
+	if err != nil {
+		return err
+	}
+	defer stopRecord()
+	g, err := gateway.New(*s, append(opts, record...)...)
 	if err != nil {
 		return err
 	}
@@ -130,6 +137,31 @@
 	}
 }
 
+// startTrace records the dispatcher's events where the settings name a file.
+func startTrace(s *settings.Settings, log *zap.Logger) ([]gateway.Option, func(), error) {
+	if s.Trace == "" {
+		return nil, func() {}, nil
+	}
+	f, err := os.Create(s.Trace)
+	if err != nil {
+		return nil, nil, fmt.Errorf("trace: %w", err)
+	}
+	seed := rand.Uint64()
+	w, err := trace.NewWriter(f, s.Choice(), seed, traceQueue)
+	if err != nil {
+		return nil, nil, err
+	}
+	stop := func() {
+		if err := errors.Join(w.Close(), f.Close()); err != nil {
+			log.Warn("trace ended early", zap.Error(err))
+		}
+	}
+	return []gateway.Option{gateway.WithSeed(seed), gateway.WithTrace(w.Record)}, stop, nil
+}
+
+// traceQueue bounds the entries that wait to be written.
+const traceQueue = 1 << 16
+
 // reload takes over the nodes and keys of a changed file; a bad one changes nothing.
 func reload(file string, g *gateway.Gateway, old *settings.Settings, log *zap.Logger) {
 	s, err := settings.Load(file)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -114,7 +114,7 @@
 
 // handOver gives the answer held here to its call's owner and clears the way for
 // the next request.
-func (k *nodeConn) handOver(*call) result {
+func (k *nodeConn) handOver() result {
 	r := k.res
 	k.call, k.src, k.state, k.held, k.chunk, k.res = nil, nil, resting, nil, nil, result{}
 	return r
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -79,12 +79,15 @@
 		}
 	case exchange.Deliver:
 		if c := l.take(a.ID); c != nil {
-			k := l.conns[a.Conn]
-			c.done(k.handOver(c))
+			r := result{kind: failed}
+			if k := l.conns[a.Conn]; k != nil {
+				r = k.handOver()
+			}
+			c.done(r)
 		}
 	case exchange.Drop:
 		if k := l.conns[a.Conn]; k != nil {
-			k.handOver(k.call)
+			k.handOver()
 		}
 	case exchange.Refuse:
 		l.g.metrics.refused.Inc()
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -52,6 +52,7 @@
 	mu     sync.Mutex
 	queue  []func()
 	spare  []func()
+	ended  bool // under mu: nothing may wake the poller any more
 	done   chan struct{}
 	count  atomic.Int64
 }
@@ -81,6 +82,12 @@
 	for fd := range l.listen {
 		unix.Close(fd)
 	}
+	// Its descriptors may be another socket's in a moment: a wake-up written to them
+	// later would be bytes in somebody's stream.
+	l.mu.Lock()
+	l.ended = true
+	l.queue = nil
+	l.mu.Unlock()
 	err2 := l.poller.Close()
 	if errors.Is(err, gneterrors.ErrEngineShutdown) {
 		err = nil
@@ -90,17 +97,24 @@
 
 // Stop ends the loop, closing its connections, and waits for it.
 func (l *Loop) Stop() {
-	l.poller.Trigger(queue.HighPriority, func(any) error { return gneterrors.ErrEngineShutdown }, nil)
+	l.mu.Lock()
+	if !l.ended {
+		l.poller.Trigger(queue.HighPriority, func(any) error { return gneterrors.ErrEngineShutdown }, nil)
+	}
+	l.mu.Unlock()
 	<-l.done
 }
 
 // Do runs f on the loop, after what was given before. It may be called anywhere.
+// After the loop's end it does nothing.
 func (l *Loop) Do(f func()) {
 	l.mu.Lock()
-	first := len(l.queue) == 0
+	defer l.mu.Unlock()
+	if l.ended {
+		return
+	}
 	l.queue = append(l.queue, f)
-	l.mu.Unlock()
-	if first {
+	if len(l.queue) == 1 {
 		l.poller.Trigger(queue.HighPriority, l.runQueue, nil)
 	}
 }
