--- a/choice/choice.go
+++ b/choice/choice.go
@@ -133,13 +133,14 @@
 		f.line = append(f.line, r)
 	}
 	f.settle()
-	d.at(min(r.aimAt, r.deadline-d.cfg.Round), &task{kind: doExpire, req: r})
+	d.expire(r, min(r.aimAt, r.deadline-d.cfg.Round))
 	d.touch(n)
 }
 
 // leave takes r out of its queue, sent or not.
 func (d *Dispatcher) leave(r *request) {
 	f, n := r.flow, r.node
+	d.unexpire(r)
 	f.live--
 	f.units -= r.Units
 	n.held--
@@ -614,6 +615,7 @@
 		d.touch(r.node)
 		d.leave(r)
 	}
+	d.unexpire(r)
 	r.state = over
 	if !r.out {
 		delete(d.reqs, r.ID)
@@ -678,7 +680,7 @@
 		r.turn = t
 		t.line = append(t.line, r)
 		if t.line[0] != r || d.now < t.rest {
-			d.at(r.aimAt, &task{kind: doExpire, req: r})
+			d.expire(r, r.aimAt)
 			d.nextTurn(t)
 			return
 		}
--- a/choice/odd_test.go
+++ b/choice/odd_test.go
@@ -127,3 +127,25 @@
 		}
 	}
 }
+
+// A request that has its answer leaves nothing behind until its aim: with long aims
+// the agenda would else hold every request of the last minutes.
+func TestAnsweredRequestsLeaveTheAgenda(t *testing.T) {
+	d, err := New(Config{Peers: 1, UsualUnits: 1, LargestUnits: 1, MaxRetryAfter: time.Second,
+		Classes: []Class{{Aim: time.Hour, Deadline: 2 * time.Hour, Worth: 1, InTurn: true}}, Plans: []Plan{{Weight: 1, Reserve: 1000, Price: 1}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Duration(0)
+	d.Handle(now, NodeList{Kind: Complete, Nodes: []Node{{ID: "a"}}})
+	for i := range RequestID(1000) {
+		now += time.Millisecond
+		d.Handle(now, Request{ID: 2*i + 1, Volume: "v", Key: "k", Units: 1, Hosts: 1, Left: 2 * time.Hour})
+		d.Handle(now, Request{ID: 2*i + 2, Volume: "v", Key: "k", Units: 1, Hosts: 1, Left: 2 * time.Hour}) // waits for its turn
+		d.Handle(now, Gone{ID: 2*i + 2})
+		d.Handle(now, Outcome{ID: 2*i + 1, Node: "a", Status: Served, Concluded: true, Took: time.Millisecond})
+	}
+	if n := len(d.agenda); n > 10 {
+		t.Fatalf("%d tasks in the agenda", n)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -38,6 +38,7 @@
 	doubtAt         time.Duration // send of the first attempt that may have run
 	doubtZone       int
 	doubtShard      Shard
+	expiry          *task // while it is held or waits for its turn
 }
 
 type volume struct {
@@ -182,6 +183,7 @@
 	flow *flow
 	node *node
 	turn *turn
+	pos  int // in the agenda, -1 when out of it
 }
 
 type agenda []*task
@@ -190,13 +192,13 @@
 func (a agenda) Less(i, j int) bool {
 	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
 }
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(*task)) }
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i]; a[i].pos = i; a[j].pos = j }
+func (a *agenda) Push(x any)   { t := x.(*task); t.pos = len(*a); *a = append(*a, t) }
 func (a *agenda) Pop() any {
 	old := *a
 	t := old[len(old)-1]
 	old[len(old)-1] = nil
-	*a = old[:len(old)-1]
+	*a, t.pos = old[:len(old)-1], -1
 	return t
 }
 
@@ -234,6 +236,21 @@
 	heap.Push(&d.agenda, t)
 }
 
+// expire has r refused at a time, unless it leaves before. What has left is taken
+// from the agenda, which would else hold every request until its aim has passed.
+func (d *Dispatcher) expire(r *request, when time.Duration) {
+	d.unexpire(r)
+	r.expiry = &task{kind: doExpire, req: r}
+	d.at(when, r.expiry)
+}
+
+func (d *Dispatcher) unexpire(r *request) {
+	if t := r.expiry; t != nil && t.pos >= 0 {
+		heap.Remove(&d.agenda, t.pos)
+	}
+	r.expiry = nil
+}
+
 // after drops the times before t.
 func after(ts []time.Duration, t time.Duration) []time.Duration {
 	for len(ts) > 0 && ts[0] <= t {
