A stand-in's directory outlasts it; faults by script; guards of the exchange tested one by one

Need: a shard's successor takes its data over, also in another process; a node process that fails by a script; and each guard taken out must fail a test. Found by taking guards out: a second attempt that came while one is out would have told choice the end of the first; five guards had no test of their own.

--- a/cmd/chalkstand/node.go
+++ b/cmd/chalkstand/node.go
@@ -14,35 +14,55 @@
 )
 
 func nodeCommand() *cobra.Command {
-	var addr, dir string
+	var addr, dir, faults string
 	cfg := storage.Config{Forget: true}
 	c := &cobra.Command{Use: "node", Short: "Run a stand-in storage node",
 		Long: `Run a stand-in storage node until SIGTERM or SIGINT. It speaks the object API without
-signatures, so it belongs on loopback. It keeps a shard's objects in memory, their bytes in
-files with --dir; what it holds is gone when it ends.`,
+signatures, so it belongs on loopback. It keeps a shard's objects in memory, or in a directory, which
+a successor takes over after it. It fails as a script says: a JSON list, comments allowed, such as
+  [{"at_ms": 2000, "for_ms": 1000, "kind": "stall", "share": 0.5, "method": "GET", "path": "/photos/"}]
+with the kinds stall, within, refuse, broken, reset, lose, half, slow (factor), pause and die.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			data := storage.NewDataset("")
+			var orders []storage.Order
+			var err error
 			if dir != "" {
-				if err := os.MkdirAll(dir, 0o755); err != nil {
+				if data, err = storage.OpenDataset(dir); err != nil {
 					return err
 				}
+				defer data.Close()
 			}
-			n, err := storage.Start(addr, cfg, storage.NewDataset(dir), nil, time.Now())
+			if faults != "" {
+				text, err := os.ReadFile(faults)
+				if err != nil {
+					return err
+				}
+				if orders, err = storage.ParseOrders(text); err != nil {
+					return err
+				}
+			}
+			n, err := storage.Start(addr, cfg, data, nil, time.Now())
 			if err != nil {
 				return err
 			}
 			defer n.Stop()
+			n.Follow(orders)
 			fmt.Fprintln(cmd.OutOrStdout(), n.Addr())
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			<-ctx.Done()
+			select {
+			case <-ctx.Done():
+			case <-n.Done():
+			}
 			return nil
 		}}
 	f := c.Flags()
 	f.StringVar(&addr, "listen", "127.0.0.1:0", "address; port 0 takes any, which is printed")
 	f.StringVar(&cfg.ID, "id", "node", "name in load reports")
 	f.IntVar(&cfg.Shard, "shard", 0, "shard that it holds")
-	f.StringVar(&dir, "dir", "", "directory for the objects' bytes; empty: memory")
+	f.StringVar(&dir, "dir", "", "directory that holds the objects; empty: memory")
+	f.StringVar(&faults, "faults", "", "file with a script of faults")
 	f.IntVar(&cfg.Cores, "cores", 0, "requests worked on at a time; 0: no bound")
 	f.IntVar(&cfg.Queue, "queue", 256, "requests that may wait; more are turned away")
 	f.DurationVar(&cfg.PerUnit, "per-unit", 0, "work of one unit, such as 5ms")
@@ -50,6 +70,8 @@
 	f.Float64Var(&cfg.ColdFrom, "cold-from", 0, "share of its speed right after the start; 0: born warm")
 	f.DurationVar(&cfg.WarmUp, "warm-up", 0, "until it has its full speed")
 	f.DurationVar(&cfg.ReportEvery, "report-every", 100*time.Millisecond, "how long a load report stays the same")
+	f.DurationVar(&cfg.ReportLate, "report-late", 0, "until a load report is told")
+	f.Float64Var(&cfg.ReportNoise, "report-noise", 0, "share by which a load report may be off")
 	f.DurationVar(&cfg.Remember, "remember", 30*time.Second, "how long repeats of a keyed write are dropped")
 	return c
 }
--- a/cmd/chalkstand/serve.go
+++ b/cmd/chalkstand/serve.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -179,28 +180,37 @@
 // embed runs a stand-in node for each shard.
 func embed(s *settings.Settings, g *gateway.Gateway) (stop func(), err error) {
 	e := s.Embedded
-	if e.Dir != "" {
-		if err := os.MkdirAll(e.Dir, 0o755); err != nil {
-			return nil, fmt.Errorf("embedded_nodes.dir: %w", err)
-		}
-	}
 	ledger := storage.NewLedger(time.Second, 300*time.Millisecond)
 	var nodes []*storage.Node
+	var sets []*storage.Dataset
 	var list []exchange.Node
 	stop = func() {
 		for _, n := range nodes {
 			n.Stop()
 		}
+		for _, d := range sets {
+			d.Close()
+		}
 	}
 	epoch := time.Now()
 	for i := range s.Shards {
 		cfg := storage.Config{ID: fmt.Sprintf("embedded-%d", i), Shard: i, Cores: e.Cores, Queue: e.Queue, PerUnit: e.PerUnit.D(),
 			ReportEvery: 100 * time.Millisecond, Remember: 30 * time.Second, Forget: true}
-		n, err := storage.Start("127.0.0.1:0", cfg, storage.NewDataset(e.Dir), ledger, epoch)
+		data := storage.NewDataset("")
+		if e.Dir != "" {
+			var err error
+			if data, err = storage.OpenDataset(filepath.Join(e.Dir, fmt.Sprintf("shard-%d", i))); err != nil {
+				stop()
+				return nil, fmt.Errorf("embedded_nodes.dir: %w", err)
+			}
+		}
+		n, err := storage.Start("127.0.0.1:0", cfg, data, ledger, epoch)
 		if err != nil {
+			data.Close()
 			stop()
 			return nil, err
 		}
+		sets = append(sets, data)
 		nodes = append(nodes, n)
 		list = append(list, exchange.Node{Addr: n.Addr(), Node: choice.Node{ID: choice.NodeID(n.ID()), Shard: choice.Shard(i)}})
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -271,10 +271,13 @@
 // stopped again where the connection is ready (ready, below).
 func (x *Exchange) attempt(a choice.Attempt) {
 	c := x.calls[a.ID]
-	if c == nil || c.stage != asked { // cannot happen; choice must not wait for its end
+	if c == nil { // cannot happen: who is gone was told; choice must not wait for its end
 		x.tell(choice.Outcome{ID: a.ID, Node: a.Node, Status: choice.Moot})
 		return
 	}
+	if c.stage != asked {
+		return // cannot happen: never two attempts out for one request
+	}
 	c.attempt++
 	c.stage, c.bodySent, c.late = opening, false, false
 	c.sentAt = x.now
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -437,3 +437,78 @@
 		}
 	}
 }
+
+// What choice never does is stopped here all the same: a second attempt while one
+// is out, and an attempt at a node that is told to drain or is not known.
+func TestAttemptsThatMustNotBe(t *testing.T) {
+	r := newRig(t, settings())
+	r.node("a", 0, choice.Serving)
+	c := r.begin(1, 0, 0, "", false)
+	r.dialed(true)
+	r.x.acts = nil
+	r.x.attempt(choice.Attempt{ID: 1, Node: "a"})
+	if len(r.x.acts) > 0 || len(r.x.inbox) > 0 || c.sends != 1 || r.x.Conns() != 1 || r.x.calls[1].stage != out {
+		t.Fatalf("a second attempt does %v", r.x.acts)
+	}
+	for _, s := range []choice.NodeState{choice.Draining, choice.Removed} {
+		r := newRig(t, settings())
+		r.node("a", 0, choice.Serving)
+		r.begin(1, 0, 0, "", false)
+		k := r.dialed(true)
+		r.tell(Answered{Conn: k, Word: served(), Reuse: true})
+		r.x.calls[2] = &call{req: choice.Request{ID: 2}, class: &r.x.cfg.Choice.Classes[0], attempt: -1, deadline: r.now + time.Second}
+		if r.x.nodes["a"].State = s; s == choice.Removed {
+			delete(r.x.nodes, "a")
+		}
+		r.x.acts = nil
+		r.x.attempt(choice.Attempt{ID: 2, Node: "a"})
+		if len(r.x.acts) != 0 || r.x.calls[2].stage != asked {
+			t.Fatalf("an attempt at a node of state %d does %v", s, r.x.acts)
+		}
+	}
+}
+
+func TestCallsAreBounded(t *testing.T) {
+	cfg := settings()
+	cfg.MaxCalls = 3
+	r := newRig(t, cfg)
+	r.node("a", 0, choice.Serving)
+	for i := range 3 {
+		r.begin(i+1, 0, 0, "", false)
+	}
+	if c := r.begin(4, 0, 0, "", false); c.answers != 1 || c.last != (Refuse{ID: 4, After: time.Second}) {
+		t.Fatalf("%#v", c.last)
+	}
+}
+
+// Unused connections to a node that drains, or that is another process now, are closed.
+func TestConnectionsOfADrainedNodeAreClosed(t *testing.T) {
+	for _, next := range []Node{{Addr: "a", Node: choice.Node{ID: "a", State: choice.Draining}}, {Addr: "a", Node: choice.Node{ID: "a", Started: time.Second}},
+		{Addr: "b", Node: choice.Node{ID: "a"}}} {
+		r := newRig(t, settings())
+		r.node("a", 0, choice.Serving)
+		r.begin(1, 0, 0, "", false)
+		r.tell(Answered{Conn: r.dialed(true), Word: served(), Reuse: true})
+		r.tell(Nodes{Kind: choice.Changes, Nodes: []Node{next}})
+		if r.x.Conns() != 0 || len(r.conns) != 0 {
+			t.Errorf("%+v: %d connections", next, r.x.Conns())
+		}
+	}
+}
+
+// A connection that was opened for a request which has ended meanwhile serves the
+// next; one that comes after its place was given up is closed.
+func TestConnectionThatComesLate(t *testing.T) {
+	r := newRig(t, settings())
+	r.node("a", 0, choice.Serving)
+	c := r.begin(1, 0, 0, "", false)
+	c.gone = true
+	r.tell(Gone{ID: 1})
+	r.dialed(true)
+	if next := r.begin(2, 0, 0, "", false); next.sends != 1 || r.x.Conns() != 1 {
+		t.Fatalf("sends %d over %d connections", next.sends, r.x.Conns())
+	}
+	if acts := r.x.Handle(r.now, Dialed{Conn: 99, OK: true}); len(acts) == 0 || acts[0] != (Close{Conn: 99}) {
+		t.Fatalf("%v", acts)
+	}
+}
--- a/internal/e2e/hard_test.go
+++ b/internal/e2e/hard_test.go
@@ -305,3 +305,47 @@
 		t.Error("still accepting")
 	}
 }
+
+// A keyed write whose answer was lost with its connection is sent again to the same
+// shard, and dropped there: it ran once.
+func TestRepeatOfAKeyedWriteIsDropped(t *testing.T) {
+	e := kit.Start(t, kit.Settings(1), nil)
+	bucket(t, e, "photos")
+	before := len(e.Log())
+	e.Nodes[0].Inject(storage.Fault{Kind: storage.Lose, Count: 1, For: time.Millisecond})
+	resp := e.Signed("PUT", "/photos/k", nil, strings.NewReader("x"))
+	if kit.ReadAll(t, resp.Body); resp.StatusCode != 200 {
+		t.Fatal(resp.Status)
+	}
+	log := e.Log()[before:]
+	if len(log) != 2 || !log[0].Ran || !log[1].Repeat || log[1].Ran || log[0].Key != log[1].Key {
+		t.Fatalf("%+v", log)
+	}
+	oneAtATime(t, e.Log())
+}
+
+// More bodies at once than may flow beside the dispatcher's depth: all arrive, and
+// small requests beside them are served.
+func TestMoreStreamsThanTheBound(t *testing.T) {
+	s := kit.Settings(1)
+	s.Limits.ConnsPerNode, s.Limits.Streams = 12, 2
+	e := kit.Start(t, s, nil)
+	c := bucket(t, e, "photos")
+	want := kit.Bytes(2, 12<<20)
+	kit.Must(c.PutObject(ctx, &s3.PutObjectInput{Bucket: aws.String("photos"), Key: aws.String("k"), Body: bytes.NewReader(want)}))(t)
+	var open []io.ReadCloser
+	for range 5 { // readers that wait
+		resp := e.Signed("GET", "/photos/k", nil, nil)
+		if resp.StatusCode != 200 {
+			t.Fatal(resp.Status)
+		}
+		open = append(open, resp.Body)
+	}
+	resp := e.Signed("PUT", "/photos/small", nil, strings.NewReader("x"))
+	if kit.ReadAll(t, resp.Body); resp.StatusCode != 200 {
+		t.Fatalf("beside streams: %s", resp.Status)
+	}
+	for _, b := range open {
+		kit.Same(t, "a stream", kit.ReadAll(t, b), want)
+	}
+}
--- a/standin/storage/api.go
+++ b/standin/storage/api.go
@@ -132,6 +132,7 @@
 		return reply{}, objectapi.Errorf("BucketNotEmpty", "The bucket you tried to delete is not empty.")
 	}
 	delete(d.buckets, name)
+	d.note(change{What: "unbucket", Bucket: name})
 	return reply{status: 204}, nil
 }
 
@@ -283,6 +284,7 @@
 	n, _ := strconv.Atoi(o.Query.Get("partNumber"))
 	d.mu.Lock()
 	u.parts[n] = ob
+	d.note(change{What: "part", ID: o.Query.Get("uploadId"), Part: n, Object: ob.record()})
 	d.mu.Unlock()
 	return nil
 }
@@ -499,6 +501,7 @@
 	}
 	if take {
 		delete(d.uploads, id)
+		d.note(change{What: "end", ID: id})
 	}
 	return u, nil
 }
@@ -513,6 +516,7 @@
 	now := time.Now()
 	id := fmt.Sprintf("%016x%08x", now.UnixNano(), d.nextID)
 	d.uploads[id] = &upload{bucket: o.Bucket, key: o.Key, started: now, header: storedHeaders(r.Header), parts: map[int]*object{}}
+	d.note(change{What: "upload", Bucket: o.Bucket, Key: o.Key, ID: id, At: now, Header: d.uploads[id].header})
 	return document(objectapi.InitiateMultipartUploadResult{Bucket: o.Bucket, Key: o.Key, UploadId: id}), nil
 }
 
--- a/standin/storage/dataset.go
+++ b/standin/storage/dataset.go
@@ -32,6 +32,7 @@
 	repeats map[string]*repeat
 	ended   []string // keys of repeats in the order in which they are forgotten
 	nextID  uint64
+	journal *os.File // nil: nothing outlasts the process
 }
 
 type bucket struct {
@@ -66,7 +67,8 @@
 	reply reply
 }
 
-// NewDataset returns an empty shard. With a directory the blobs are files in it.
+// NewDataset returns an empty shard. With a directory the blobs are files in it;
+// what they are called outlasts the process only with OpenDataset.
 func NewDataset(dir string) *Dataset {
 	return &Dataset{dir: dir, buckets: map[string]*bucket{}, uploads: map[string]*upload{}, repeats: map[string]*repeat{}}
 }
@@ -155,7 +157,7 @@
 	} else {
 		d.mu.Lock()
 		d.nextID++
-		name := filepath.Join(d.dir, fmt.Sprintf("blob-%d-%d", os.Getpid(), d.nextID))
+		name := filepath.Join(d.dir, fmt.Sprintf("blob-%d-%d-%d", os.Getpid(), time.Now().UnixNano(), d.nextID))
 		d.mu.Unlock()
 		f, ferr := os.Create(name)
 		if ferr != nil {
@@ -218,6 +220,7 @@
 		b.keys = nil
 	}
 	b.objects[key] = o
+	d.note(change{What: "put", Bucket: bkt, Key: key, Object: o.record()})
 	return nil
 }
 
@@ -234,6 +237,7 @@
 	if b.objects[key] != nil {
 		delete(b.objects, key)
 		b.keys = nil
+		d.note(change{What: "delete", Bucket: bkt, Key: key})
 	}
 	return nil
 }
@@ -323,6 +327,7 @@
 		return false
 	}
 	d.buckets[name] = &bucket{created: created, objects: map[string]*object{}}
+	d.note(change{What: "bucket", Bucket: name, At: created})
 	return true
 }
 
--- a/standin/storage/node.go
+++ b/standin/storage/node.go
@@ -38,6 +38,7 @@
 	// ReportEvery is how long a load report stays the same; ReportNoise is the
 	// share by which it may be off.
 	ReportEvery time.Duration
+	ReportLate  time.Duration // until a report is told
 	ReportNoise float64
 	Remember    time.Duration // how long repeats of a keyed write are dropped
 	Forget      bool          // keep no log: for nodes that run for long
@@ -58,6 +59,7 @@
 	Half                        // break off in the middle of the answer
 	Slow                        // Factor times the work
 	Pause                       // stand still: all wait until For has passed
+	Die                         // end; of scripts only
 )
 
 // Fault is one order to fail.
@@ -114,8 +116,10 @@
 	paused   time.Time // nothing works before
 	recent   []load    // of a node just started
 	deferred time.Duration
-	report   string
+	report   string // that is told
 	reported time.Time
+	next     string // that will be told
+	nextAt   time.Time
 	arrived  func(Entry) // told of each arrival
 }
 
@@ -571,9 +575,12 @@
 		if n.cfg.Cores > 0 {
 			busy = min(1, float64(n.waiting)/float64(n.cfg.Cores))
 		}
-		n.report = fmt.Sprintf("TEXT cpu_utilization=%.3f, named_metrics.inflight=%.2f", busy*noise, float64(n.inflight)*noise)
+		n.next, n.nextAt = fmt.Sprintf("TEXT cpu_utilization=%.3f, named_metrics.inflight=%.2f", busy*noise, float64(n.inflight)*noise), now
 		n.reported = now
 	}
+	if n.report == "" || now.Sub(n.nextAt) >= n.cfg.ReportLate {
+		n.report = n.next
+	}
 	rep := n.report
 	n.mu.Unlock()
 	if n.ledger != nil {
