--- a/internal/e2e/slow_test.go
+++ b/internal/e2e/slow_test.go
@@ -10,6 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/service/s3"
+	"github.com/aws/aws-sdk-go-v2/service/s3/types"
+
 	"chalkstand/internal/settings"
 	kit "chalkstand/internal/testkit"
 	"chalkstand/standin/storage"
@@ -161,3 +165,70 @@
 		kit.Same(t, fmt.Sprint(n), kit.ReadAll(t, resp.Body), want)
 	}
 }
+
+// A client that sends one request behind the other and reads nothing makes the
+// gateway hold one answer, not all.
+func TestPipelineThatIsNotRead(t *testing.T) {
+	e := kit.Start(t, kit.Settings(1), nil)
+	bucket(t, e, "photos")
+	body := kit.Bytes(1, 60_000)
+	resp := e.Signed("PUT", "/photos/k", nil, strings.NewReader(string(body)))
+	kit.ReadAll(t, resp.Body)
+	r := kit.Must(http.NewRequest("GET", "http://"+e.Addr+"/photos/k", nil))(t)
+	kit.SignRequest(r, kit.KeyID, kit.Secret, time.Now())
+	var one strings.Builder
+	r.Write(&one)
+	c := kit.Must(net.Dial("tcp", e.Addr))(t)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	const n = 300 // 18 MB of answers, more than the sockets take
+	go io.WriteString(c, strings.Repeat(one.String(), n))
+	most := 0
+	wait(t, func() bool { most = max(most, e.G.HeldBytes()); return most > 0 })
+	for range 200 {
+		most = max(most, e.G.HeldBytes())
+		time.Sleep(time.Millisecond)
+	}
+	if most > 192<<10 { // an answer, what came ahead, and a read of the node's
+		t.Errorf("%d bytes held", most)
+	}
+	br := bufio.NewReader(c)
+	for i := range n {
+		resp := kit.Must(http.ReadResponse(br, nil))(t)
+		kit.Same(t, fmt.Sprint("answer ", i), kit.ReadAll(t, resp.Body), body)
+	}
+}
+
+// A list that lacks a shard is refused: short, it would look whole.
+func TestListWithoutAShard(t *testing.T) {
+	e := kit.Start(t, kit.Settings(3), nil)
+	c := bucket(t, e, "photos")
+	for i := range 20 {
+		resp := e.Signed("PUT", fmt.Sprint("/photos/k", i), nil, strings.NewReader("x"))
+		kit.ReadAll(t, resp.Body)
+	}
+	for _, f := range []storage.FaultKind{storage.Refuse, storage.Broken} {
+		e.Nodes[1].Inject(storage.Fault{Kind: f})
+		for _, q := range []string{"", "?list-type=2", "?uploads"} {
+			resp := e.Signed("GET", "/photos"+q, nil, nil)
+			if b := kit.ReadAll(t, resp.Body); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || strings.Contains(string(b), "<Key>") {
+				t.Errorf("fault %d, %s: %d %s", f, q, resp.StatusCode, b)
+			}
+		}
+		// Deletes tell which keys are not done.
+		var ids []types.ObjectIdentifier
+		for i := range 20 {
+			ids = append(ids, types.ObjectIdentifier{Key: aws.String(fmt.Sprint("k", i))})
+		}
+		out := kit.Must(c.DeleteObjects(ctx, &s3.DeleteObjectsInput{Bucket: aws.String("photos"), Delete: &types.Delete{Objects: ids}}))(t)
+		if len(out.Deleted) == 0 || len(out.Errors) == 0 || len(out.Deleted)+len(out.Errors) != 20 {
+			t.Errorf("fault %d: %d deleted, %d errors", f, len(out.Deleted), len(out.Errors))
+		}
+		e.Nodes[1].Heal()
+	}
+	wait(t, func() bool { // the node is suspect for a while
+		resp := e.Signed("GET", "/photos", nil, nil)
+		b := string(kit.ReadAll(t, resp.Body))
+		return resp.StatusCode == 200 && strings.Contains(b, "<Key>")
+	})
+}
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -82,8 +82,8 @@
 	for fd := range l.listen {
 		unix.Close(fd)
 	}
-	// Its descriptors may be another socket's in a moment: a wake-up written to them
-	// later would be bytes in somebody's stream.
+	// What is given from here on would wait for ever, and a wake-up would go to a
+	// descriptor that may be another socket's by then.
 	l.mu.Lock()
 	l.ended = true
 	l.queue = nil
--- a/internal/netloop/loop_test.go
+++ b/internal/netloop/loop_test.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// After its end a loop takes no more work, and its old descriptors are left alone:
-// they may be another's by then.
+// After its end a loop takes no more work, keeps none, and leaves its old
+// descriptors alone: they may be another's by then.
 func TestEndedLoopWritesToNobody(t *testing.T) {
 	l, err := NewLoop(0)
 	if err != nil {
@@ -97,6 +97,9 @@
 		l.Do(func() { t.Error("run after the end") })
 		l.Stop()
 	}
+	if len(l.queue) > 0 {
+		t.Fatal("work that nobody will do is kept")
+	}
 	for _, f := range files {
 		var fds = []unix.PollFd{{Fd: int32(f.Fd()), Events: unix.POLLIN}}
 		if n, _ := unix.Poll(fds, 0); n > 0 && fds[0].Revents&unix.POLLIN != 0 {
