The dispatcher tells for what a request was held: line, limit, cold node, suspect node

Change: Held on Attempt, Refuse and Fail; a flow's parked time and a node's blocked time are summed in state.go and differences taken when a request leaves. No decision reads them.

--- a/choice/api.go
+++ b/choice/api.go
@@ -197,21 +197,35 @@
 // Action is something that a dispatcher wants done, in the order given.
 type Action interface{ action() }
 
+// Held tells for what a request was held at nodes since it was taken or its last
+// attempt ended. What is left of that time is its key's turn or its pause.
+type Held struct {
+	Line    time.Duration // the node's places were taken
+	Limit   time.Duration // its volume's limit
+	Cold    time.Duration // the guard of a cold node
+	Suspect time.Duration // the pause of a suspect node
+}
+
 // Attempt sends a request to a node; it ends at the client's deadline or Until.
 type Attempt struct {
 	ID    RequestID
 	Node  NodeID
 	Until time.Duration // 0: when the client gives up
+	Held  Held
 }
 
 // Refuse is a final answer: trying again is harmless, after After.
 type Refuse struct {
 	ID    RequestID
 	After time.Duration
+	Held  Held
 }
 
 // Fail is a final answer that promises nothing.
-type Fail struct{ ID RequestID }
+type Fail struct {
+	ID   RequestID
+	Held Held
+}
 
 // Cancel stops waiting for an attempt.
 type Cancel struct {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -119,6 +119,7 @@
 func (d *Dispatcher) enqueue(r *request, n *node, front bool) {
 	f := d.flowOf(r.vol, n)
 	r.node, r.flow, r.state, r.vArr = n, f, held, n.v
+	r.queued = f.stands(d.now)
 	if f.live == 0 {
 		n.phiSum += r.vol.phi
 	}
@@ -141,6 +142,7 @@
 func (d *Dispatcher) leave(r *request) {
 	f, n := r.flow, r.node
 	d.unexpire(r)
+	r.held = r.heldFor(d.now)
 	f.live--
 	f.units -= r.Units
 	n.held--
@@ -212,6 +214,7 @@
 
 // pump releases what may leave for n, lowest start tag first.
 func (d *Dispatcher) pump(n *node) {
+	n.unblock(d.now)
 	for n.out < d.depth(n) && len(n.flows) > 0 {
 		f := n.flows[0]
 		r := f.line[0]
@@ -226,7 +229,7 @@
 		case whose == never || at > r.aimAt:
 			d.refuse(r, at-d.now)
 		case whose == ofVolume:
-			f.parked = true
+			f.park(d.now)
 			f.settle()
 			d.at(at, &task{kind: doUnpark, flow: f})
 		default:
@@ -234,6 +237,7 @@
 				n.wake = at
 				d.at(at, &task{kind: doPump, node: n})
 			}
+			n.block(d.now, n.until >= at)
 			return
 		}
 	}
@@ -578,7 +582,8 @@
 	n.out++
 	n.sentAt = d.now
 	n.outs = append(n.outs, r)
-	d.act(Attempt{ID: r.ID, Node: n.ID, Until: d.patience(r, n)})
+	d.act(Attempt{ID: r.ID, Node: n.ID, Until: d.patience(r, n), Held: r.held})
+	r.held = Held{}
 }
 
 // patience ends an attempt in time for another one within the aim, where answers are lost
@@ -602,9 +607,10 @@
 // back. Where that cannot be promised the answer is a failure.
 func (d *Dispatcher) refuse(r *request, after time.Duration) {
 	if r.mayRefuse() {
-		d.act(Refuse{ID: r.ID, After: min(max(after, afterMin), max(d.cfg.MaxRetryAfter, afterMin))})
+		after = min(max(after, afterMin), max(d.cfg.MaxRetryAfter, afterMin))
+		d.act(Refuse{ID: r.ID, After: after, Held: r.heldFor(d.now)})
 	} else {
-		d.act(Fail{ID: r.ID})
+		d.act(Fail{ID: r.ID, Held: r.heldFor(d.now)})
 	}
 	d.finish(r)
 }
@@ -894,7 +900,7 @@
 				d.refuse(r, afterMin)
 			}
 		case doUnpark:
-			t.flow.parked = false
+			t.flow.unpark(d.now)
 			t.flow.floor = max(t.flow.floor, t.flow.node.v)
 			t.flow.settle()
 			d.touch(t.flow.node)
--- a/choice/state.go
+++ b/choice/state.go
@@ -39,8 +39,13 @@
 	doubtZone       int
 	doubtShard      Shard
 	expiry          *task // while it is held or waits for its turn
+	held            Held  // in queues that it has left
+	queued          stand // when it joined its queue
 }
 
+// stand is a moment, with what had stood in the way of a flow until then.
+type stand struct{ at, limit, cold, suspect time.Duration }
+
 type volume struct {
 	id        VolumeID
 	plan      *Plan
@@ -80,6 +85,11 @@
 	debt     float64 // units sent to a cold node and not paid off
 	debtAt   time.Duration
 	use      *meter // units that its shard served; outlives the shard's nodes
+
+	blocked             bool // by the guard of cold nodes or a pause, since
+	blockedAt           time.Duration
+	pausing             bool          // by a pause
+	coldSum, suspectSum time.Duration // that it was
 }
 
 // meter is a sum that decays with time.
@@ -149,6 +159,8 @@
 	start        float64 // start tag of the head
 	pos          int     // in the heap, -1 when out of it
 	parked       bool    // until the volume's limit allows its head
+	parkedAt     time.Duration
+	parkedSum    time.Duration // that it was before
 }
 
 type flowHeap []*flow
@@ -244,6 +256,63 @@
 	d.at(when, r.expiry)
 }
 
+// The accounts of what holds requests: told with each attempt, decided on by none.
+
+func (f *flow) park(now time.Duration) { f.parked, f.parkedAt = true, now }
+
+func (f *flow) unpark(now time.Duration) {
+	f.parked = false
+	f.parkedSum += now - f.parkedAt
+}
+
+func (n *node) block(now time.Duration, pausing bool) {
+	n.blocked, n.blockedAt, n.pausing = true, now, pausing
+}
+
+func (n *node) unblock(now time.Duration) {
+	if n.blocked && n.pausing {
+		n.suspectSum += now - n.blockedAt
+	} else if n.blocked {
+		n.coldSum += now - n.blockedAt
+	}
+	n.blocked = false
+}
+
+// stands returns a flow's sums up to now.
+func (f *flow) stands(now time.Duration) stand {
+	s := stand{now, f.parkedSum, f.node.coldSum, f.node.suspectSum}
+	if f.parked {
+		s.limit += now - f.parkedAt
+	}
+	if b := now - f.node.blockedAt; f.node.blocked && f.node.pausing {
+		s.suspect += b
+	} else if f.node.blocked {
+		s.cold += b
+	}
+	return s
+}
+
+// heldFor tells for what r was held until now. Where two things stood in the way at
+// once, the time is the first's: the parts sum to the time in queues.
+func (r *request) heldFor(now time.Duration) Held {
+	h := r.held
+	if r.flow == nil {
+		return h
+	}
+	s, q := r.flow.stands(now), r.queued
+	left := now - q.at
+	part := func(d time.Duration) time.Duration {
+		d = min(max(d, 0), left)
+		left -= d
+		return d
+	}
+	h.Limit += part(s.limit - q.limit)
+	h.Cold += part(s.cold - q.cold)
+	h.Suspect += part(s.suspect - q.suspect)
+	h.Line += left
+	return h
+}
+
 func (d *Dispatcher) unexpire(r *request) {
 	if t := r.expiry; t != nil && t.pos >= 0 {
 		heap.Remove(&d.agenda, t.pos)
