The exchange accounts for each request: causes sum to its time, a flood is named

Change: exchange keeps a span for each request and an occupancy for each node while somebody takes the accounts (gateway.WithAccounts); choice.Held gives the reasons.

--- /dev/null
+++ b/exchange/account.go
@@ -0,0 +1,88 @@
+package exchange
+
+import (
+	"time"
+
+	"chalkstand/accounts"
+	"chalkstand/choice"
+)
+
+// The accounts of requests: told to whoever asked for them, decided on by none.
+
+// stretches bounds the history of each node that waits are divided by.
+const stretches = 4096
+
+func (n *node) occupancy() *accounts.Occupancy {
+	if n.out == nil {
+		n.out = accounts.NewOccupancy(stretches)
+	}
+	return n.out
+}
+
+// wasHeld puts the time since the last attempt, or the start, down to its causes, as
+// choice tells them. The time in line is divided among those who had the node's
+// places; what choice does not name is the key's turn or the pause between attempts.
+func (x *Exchange) wasHeld(c *call, h choice.Held) {
+	if x.Account == nil || c.stage != asked {
+		return
+	}
+	was := accounts.Turn
+	if c.attempt >= 0 {
+		was = accounts.Pause
+	}
+	before := c.span.Parts[was]
+	c.span.To(x.now, was)
+	left := c.span.Parts[was] - before
+	part := func(to accounts.Cause, d time.Duration) time.Duration {
+		d = c.span.Move(was, to, min(d, left))
+		left -= d
+		return d
+	}
+	part(accounts.Limit, h.Limit)
+	part(accounts.ColdNode, h.Cold)
+	part(accounts.Suspect, h.Suspect)
+	line := part(accounts.Others, h.Line)
+	if line <= 0 {
+		return
+	}
+	n := x.holder(c)
+	if n == nil { // its node has gone meanwhile: behind whom is not known
+		c.behind = append(c.behind, accounts.Blame{Time: line})
+		return
+	}
+	for _, b := range n.occupancy().Between(x.now-line, x.now) {
+		if b.Volume == string(c.req.Volume) {
+			c.span.Move(accounts.Others, accounts.Own, b.Time)
+		} else {
+			c.behind = append(c.behind, b)
+		}
+	}
+}
+
+// holder is the node that a request is held for: the newest that serves its shard.
+func (x *Exchange) holder(c *call) *node {
+	var best *node
+	for _, n := range x.order {
+		if n.State == choice.Serving && n.Shard == c.req.Shard && (best == nil || best.Started < n.Started) {
+			best = n
+		}
+	}
+	return best
+}
+
+// lost puts an attempt's time down as lost: it brought no answer.
+func (x *Exchange) lost(c *call) {
+	c.span.To(x.now, accounts.Pause)
+	d := x.now - c.begun
+	d -= c.span.Move(accounts.NodeTime, accounts.Lost, d)
+	c.span.Move(accounts.Connect, accounts.Lost, d)
+	x.leaves(c)
+}
+
+// leaves takes a call from those that are out at its node.
+func (x *Exchange) leaves(c *call) {
+	if n := c.occupies; n != nil {
+		n.occupancy().Ended(x.now, string(c.req.Volume), c.req.Units)
+		c.occupies = nil
+	}
+}
--- /dev/null
+++ b/exchange/account_test.go
@@ -0,0 +1,71 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"chalkstand/accounts"
+	"chalkstand/choice"
+)
+
+const ms = time.Millisecond
+
+// Time goes to the cause that it belongs to, and a wait to those who had the places.
+func TestAccountsNameTheCause(t *testing.T) {
+	cfg := settings()
+	cfg.ConnsPerNode = 16
+	r := newRig(t, cfg)
+	got := map[string]accounts.Entry{}
+	r.x.Account = func(e accounts.Entry) { got[e.Volume] = e }
+	r.node("a", 0, choice.Serving)
+	ask := func(id, class int, vol choice.VolumeID, key string) *rigCall {
+		r.volume = vol
+		return r.begin(id, class, 0, key, false)
+	}
+	for i := range 4 { // a flood takes the node's places
+		ask(i+1, 2, "flood", "")
+		r.dialed(true)
+	}
+	review := ask(5, 2, "review", "")
+	r.wait(30 * ms)
+	r.tell(Answered{Conn: r.calls[1].on, Word: served(), Reuse: true})
+	r.wait(10 * ms)
+	r.tell(Answered{Conn: review.on, Word: served(), Reuse: true})
+	e := got["review"]
+	if e.Parts[accounts.Others] != 30*ms || e.Parts[accounts.NodeTime] != 10*ms || len(e.Behind) != 1 || e.Behind[0] != (accounts.Blame{Volume: "flood", Time: 30 * ms}) {
+		t.Fatalf("held: %+v", e)
+	}
+	for i := 2; i <= 4; i++ {
+		r.tell(Answered{Conn: r.calls[choice.RequestID(i)].on, Word: served(), Reuse: true})
+	}
+
+	first := ask(11, 1, "first", "k")
+	second := ask(12, 1, "second", "k")
+	r.wait(20 * ms)
+	r.tell(Answered{Conn: first.on, Word: served(), Reuse: true})
+	r.tell(Answered{Conn: second.on, Word: served(), Reuse: true})
+	if e := got["second"]; e.Parts[accounts.Turn] != 20*ms || e.Parts.Total() != 20*ms {
+		t.Fatalf("in turn: %+v", e)
+	}
+
+	again := ask(21, 0, "again", "")
+	r.wait(15 * ms)
+	id := again.on
+	r.drop(r.conns[id])
+	r.tell(Lost{Conn: id})
+	r.wait(40 * ms)
+	r.tell(Answered{Conn: again.on, Word: served(), Reuse: true})
+	if e := got["again"]; e.Parts[accounts.Lost] != 15*ms || e.Parts[accounts.Pause] == 0 || e.Parts.Total() != 55*ms {
+		t.Fatalf("after a lost attempt: %+v", e)
+	}
+
+	stream := ask(31, 0, "stream", "")
+	r.wait(5 * ms)
+	stream.headed = true
+	r.tell(Headed{Conn: stream.on, Word: served()})
+	r.wait(70 * ms)
+	r.tell(Answered{Conn: stream.on, Word: served(), Reuse: true})
+	if e := got["stream"]; e.Parts[accounts.NodeTime] != 5*ms || e.Parts[accounts.BodyOut] != 70*ms {
+		t.Fatalf("streaming: %+v", e)
+	}
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -8,12 +8,16 @@
 	"strings"
 	"time"
 
+	"chalkstand/accounts"
 	"chalkstand/choice"
 )
 
 // Exchange is the state machine of one gateway's requests. It is not safe for
 // concurrent use.
 type Exchange struct {
+	// Account, when set, is given the account of each request that has ended: where
+	// its time from Begin on went, and behind whom it was held.
+	Account func(accounts.Entry)
 	// Trace, when set, is shown each input of the dispatcher with what it answered.
 	Trace func(now time.Duration, ev choice.Event, acts []choice.Action)
 
@@ -66,6 +70,11 @@
 	streams  *node         // among whose streams it counts
 	headAt   time.Duration // when its answer's head was passed on, while choice waits for its end
 	headWord Word
+
+	span     accounts.Span
+	begun    time.Duration // of the present attempt
+	behind   []accounts.Blame
+	occupies *node // among whose requests out it counts
 }
 
 type connState int
@@ -91,6 +100,7 @@
 	Node
 	conns   int
 	streams int
+	out     *accounts.Occupancy
 	idle    []*conn // the last used at the end
 }
 
@@ -176,10 +186,12 @@
 		x.attempt(a)
 	case choice.Refuse:
 		if c := x.calls[a.ID]; c != nil {
+			x.wasHeld(c, a.Held)
 			x.answer(c, Refuse{ID: a.ID, Lane: c.lane, After: a.After})
 		}
 	case choice.Fail:
 		if c := x.calls[a.ID]; c != nil {
+			x.wasHeld(c, a.Held)
 			x.answer(c, Fail{ID: a.ID, Lane: c.lane, Late: c.late})
 		}
 	case choice.Cancel:
@@ -209,6 +221,11 @@
 func (x *Exchange) forget(c *call) {
 	c.stage = done
 	x.stop(c)
+	x.leaves(c)
+	if x.Account != nil {
+		c.span.To(x.now, accounts.Gateway)
+		x.Account(accounts.Entry{Volume: string(c.req.Volume), Ended: x.now, Parts: c.span.Parts, Behind: c.behind})
+	}
 	if c.streams != nil {
 		c.streams.streams--
 		c.streams = nil
@@ -262,6 +279,7 @@
 	class := &x.cfg.Choice.Classes[e.Request.Class]
 	c := &call{req: e.Request, class: class, lane: e.Lane, attempt: -1, once: e.Once,
 		deadline: x.now + e.Request.Left - x.cfg.Margin}
+	c.span = accounts.Begin(x.now, accounts.Turn)
 	x.calls[c.req.ID] = c
 	x.tell(e.Request)
 }
@@ -278,7 +296,10 @@
 	if c.stage != asked {
 		return // cannot happen: never two attempts out for one request
 	}
+	x.wasHeld(c, a.Held)
 	c.attempt++
+	c.begun = x.now
+	c.span.To(x.now, accounts.Connect)
 	c.stage, c.bodySent, c.late = opening, false, false
 	c.sentAt = x.now
 	until := c.deadline
@@ -318,6 +339,7 @@
 		return
 	}
 	c.stage = asked
+	x.lost(c)
 	x.give(c, s, w, false)
 }
 
@@ -370,6 +392,7 @@
 		return
 	}
 	x.give(c, choice.Cancelled, Word{}, true)
+	x.leaves(c) // its place in the depth is free
 	c.stage = released
 	x.stop(c)
 }
@@ -435,6 +458,11 @@
 // leaves for a node.
 func (x *Exchange) carry(k *conn, c *call) {
 	k.state, k.call, c.conn, c.stage = busy, c, k, out
+	c.span.To(x.now, accounts.NodeTime)
+	if x.Account != nil {
+		c.occupies = k.node
+		k.node.occupancy().Sent(x.now, string(c.req.Volume), c.req.Units)
+	}
 	x.act(Send{Conn: k.id, Lane: k.lane, ID: c.req.ID, Node: k.node.ID, Attempt: c.attempt})
 }
 
@@ -493,6 +521,7 @@
 	}
 	c := k.call
 	c.stage, c.headAt, c.headWord = passing, x.now, e.Word
+	c.span.To(x.now, accounts.BodyOut)
 	x.stop(c)
 	if x.stream(c) {
 		x.served(c)
@@ -502,6 +531,7 @@
 // served tells choice of an answer that streams: it took until its head. What
 // comes after is paced by the client.
 func (x *Exchange) served(c *call) {
+	x.leaves(c)
 	if !c.settled {
 		c.settled = true
 		x.tell(choice.Outcome{ID: c.req.ID, Attempt: c.attempt, Status: choice.Served, Concluded: true, Took: c.headAt - c.sentAt,
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"chalkstand/accounts"
 	"chalkstand/choice"
 )
 
@@ -36,6 +37,7 @@
 	opened int
 	perNod map[choice.NodeID]int
 	limit  int
+	volume choice.VolumeID
 }
 
 type rigConn struct {
@@ -63,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &rig{t: t, x: x, conns: map[ConnID]*rigConn{}, state: map[choice.NodeID]choice.NodeState{},
+	return &rig{t: t, x: x, conns: map[ConnID]*rigConn{}, state: map[choice.NodeID]choice.NodeState{}, volume: "v",
 		calls: map[choice.RequestID]*rigCall{}, wake: 1 << 62, perNod: map[choice.NodeID]int{}, limit: cfg.ConnsPerNode}
 }
 
@@ -156,7 +158,7 @@
 	left := r.x.cfg.Choice.Classes[class].Deadline
 	c := &rigCall{id: choice.RequestID(id), due: r.now + left, once: once}
 	r.calls[c.id] = c
-	r.tell(Begin{Once: once, Request: choice.Request{ID: c.id, Class: class, Volume: "v", Key: key,
+	r.tell(Begin{Once: once, Request: choice.Request{ID: c.id, Class: class, Volume: r.volume, Key: key,
 		Shard: choice.Shard(shard), Units: 1, Hosts: 1, Left: left}})
 	return c
 }
@@ -341,6 +343,23 @@
 func history(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	r := newRig(t, settings())
+	var entries []accounts.Entry
+	r.x.Account = func(e accounts.Entry) { entries = append(entries, e) }
+	began := map[string]time.Duration{}
+	defer func() { // every request's parts sum to its time, exactly
+		for _, e := range entries {
+			var behind time.Duration
+			for _, b := range e.Behind {
+				behind += b.Time
+			}
+			if e.Parts.Total() != e.Ended-began[e.Volume] || behind != e.Parts[accounts.Others] {
+				t.Errorf("%s: %v accounted of %v, behind %v of %v", e.Volume, e.Parts.Total(), e.Ended-began[e.Volume], behind, e.Parts[accounts.Others])
+			}
+		}
+		if len(entries)+len(r.x.calls) != len(began) {
+			t.Errorf("%d accounts of %d requests, %d in hand", len(entries), len(began), len(r.x.calls))
+		}
+	}()
 	for i := range 4 {
 		r.node(fmt.Sprint("n", i), i%2, choice.Serving)
 	}
@@ -357,6 +376,8 @@
 		switch rng.IntN(12) {
 		case 0, 1, 2:
 			next++
+			r.volume = choice.VolumeID(fmt.Sprint("v", next))
+			began[string(r.volume)] = r.now
 			r.begin(next, rng.IntN(3), rng.IntN(2), fmt.Sprint(rng.IntN(3)), rng.IntN(4) == 0)
 		case 3, 4:
 			if k := pick(func(k *rigConn) bool { return !k.open }); k != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"chalkstand/accounts"
 	"chalkstand/choice"
 	"chalkstand/exchange"
 	"chalkstand/internal/netloop"
@@ -50,6 +51,10 @@
 	return func(g *Gateway) { g.trace = f }
 }
 
+// WithAccounts has f given the account of each request to a node that has ended, one
+// at a time. f must not block.
+func WithAccounts(f func(accounts.Entry)) Option { return func(g *Gateway) { g.account = f } }
+
 // Gateway is one running gateway.
 type Gateway struct {
 	cfg      *Settings
@@ -58,6 +63,7 @@
 	wall     func() time.Time
 	seed     uint64
 	trace    func(time.Duration, choice.Event, []choice.Action)
+	account  func(accounts.Entry)
 
 	tariff   *tariff.Tariff
 	shards   *placement.Map
@@ -98,7 +104,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
-	x.Trace = g.trace
+	x.Trace, x.Account = g.trace, g.account
 	g.core = newCore(x)
 	g.metrics = newMetrics(g)
 	if g.registry != nil {
