--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -34,7 +34,6 @@
 	state  map[choice.NodeID]choice.NodeState
 	calls  map[choice.RequestID]*rigCall
 	wake   time.Duration
-	opened int
 	perNod map[choice.NodeID]int
 	limit  int
 	volume choice.VolumeID
--- a/gateway/fanout.go
+++ b/gateway/fanout.go
@@ -26,8 +26,8 @@
 
 // fan sends one request for each shard, a few at a time, and goes on when all have
 // their answers.
-func (t *transaction) fan(shards []choice.Shard, make func(i int, s choice.Shard) (*call, choice.Request), done func([]part)) {
-	parts := slices.Repeat([]part{{}}, len(shards))
+func (t *transaction) fan(shards []choice.Shard, ask func(i int, s choice.Shard) (*call, choice.Request), done func([]part)) {
+	parts := make([]part, len(shards))
 	next, open, inside := 0, 0, false
 	var more func()
 	more = func() {
@@ -38,7 +38,7 @@
 		for next < len(shards) && open < t.conn.lane.g.cfg.Limits.FanOut && !t.ended {
 			i := next
 			next, open = next+1, open+1
-			k, r := make(i, shards[i])
+			k, r := ask(i, shards[i])
 			k.done = func(res result) {
 				open--
 				p := &parts[i]
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -178,9 +178,6 @@
 			c.offer(nil)
 		}
 	}
-	if cap(l.again) > 0 && len(l.again) == 0 {
-		l.again = l.again[:0:0]
-	}
 }
 
 // Soon runs f on the loop after the present event. On the loop only.
