After reading the change: an answer is parsed once, actions name their lane, twins go

Cause: read once more, a held answer's head and load report were parsed twice on the hot path; routing repeated a case for each action; denials, the counting of a final answer and the end of an upload were written several times; one flag was never read. Change: hold takes the head that was just parsed; Action.On names the lane; deny, settle, upload.abandon; the stand-in uses EncodeName; one Peak. Behaviour and tests unchanged.

--- a/exchange/api.go
+++ b/exchange/api.go
@@ -140,7 +140,10 @@
 func (Fired) event()    {}
 
 // Action is something that an exchange wants done, in the order given.
-type Action interface{ action() }
+type Action interface {
+	// On returns the lane that is to do it; false for what belongs to none.
+	On() (Lane, bool)
+}
 
 // Dial opens a connection.
 type Dial struct {
@@ -206,13 +209,32 @@
 // Ask asks discovery for the list and its changes.
 type Ask struct{}
 
-func (Dial) action()     {}
-func (Send) action()     {}
-func (Close) action()    {}
-func (Deliver) action()  {}
-func (Drop) action()     {}
-func (Refuse) action()   {}
-func (Fail) action()     {}
-func (Cut) action()      {}
-func (SetTimer) action() {}
-func (Ask) action()      {}
+// On returns the action's lane.
+func (a Dial) On() (Lane, bool) { return a.Lane, true }
+
+// On returns the action's lane.
+func (a Send) On() (Lane, bool) { return a.Lane, true }
+
+// On returns the action's lane.
+func (a Close) On() (Lane, bool) { return a.Lane, true }
+
+// On returns the action's lane.
+func (a Deliver) On() (Lane, bool) { return a.Lane, true }
+
+// On returns the action's lane.
+func (a Drop) On() (Lane, bool) { return a.Lane, true }
+
+// On returns the action's lane.
+func (a Refuse) On() (Lane, bool) { return a.Lane, true }
+
+// On returns the action's lane.
+func (a Fail) On() (Lane, bool) { return a.Lane, true }
+
+// On returns the action's lane.
+func (a Cut) On() (Lane, bool) { return a.Lane, true }
+
+// On tells that it belongs to no lane.
+func (SetTimer) On() (Lane, bool) { return 0, false }
+
+// On tells that it belongs to no lane.
+func (Ask) On() (Lane, bool) { return 0, false }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -173,7 +173,7 @@
 	case heading:
 		return k.readHead(b)
 	case holding:
-		return k.hold(b)
+		return k.hold(b, 0)
 	case piping:
 		return k.pipe(b)
 	case complete: // more than its answer
@@ -207,13 +207,13 @@
 	} else if r.UntilClose {
 		k.left = -1
 	}
-	word := k.word()
 	plain := !r.Chunked && !r.UntilClose
 	if plain && r.Length <= int64(k.call.collect) {
 		k.need = n + int(r.Length)
 		k.state = holding
-		return k.hold(b)
+		return k.hold(b, n)
 	}
+	word := k.word()
 	if k.call.sink == nil || word.Status != choice.Served {
 		if plain || r.UntilClose { // larger than any document may be
 			k.lose()
@@ -242,16 +242,17 @@
 }
 
 // hold waits until the whole answer is in b; it stays in the connection's buffer
-// until then.
-func (k *nodeConn) hold(b []byte) int {
+// until then. n is the length of its head, where that was parsed from this very b.
+func (k *nodeConn) hold(b []byte, n int) int {
 	if k.chunk != nil {
 		return k.holdChunks(b)
 	}
 	if len(b) < k.need {
 		return 0
 	}
-	// Parsed again: the buffer may have moved since.
-	n, _ := k.scan.ParseResponse(b, k.lane.nodeLimits(), k.call.method, &k.resp)
+	if n == 0 { // again: the buffer may have moved since
+		n, _ = k.scan.ParseResponse(b, k.lane.nodeLimits(), k.call.method, &k.resp)
+	}
 	used := k.need
 	k.complete(result{kind: answered, resp: &k.resp, body: b[n:used]})
 	return used
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -214,7 +214,7 @@
 
 func (t *transaction) refuseBody(e *objectapi.Error) {
 	t.abandon()
-	t.fail(e, e.Status())
+	t.deny(e)
 }
 
 // continueBody sends 100 Continue where the client waits for it.
@@ -274,6 +274,9 @@
 	t.reply(status, []byte("Content-Type: application/xml\r\n"), e.Document(t.resource, t.id))
 }
 
+// deny gives an error with the status of its code.
+func (t *transaction) deny(e *objectapi.Error) { t.fail(e, e.Status()) }
+
 // slowDown gives a refusal: trying again after the time is harmless.
 func (t *transaction) slowDown(after time.Duration) {
 	secs := int64((after + time.Second - 1) / time.Second)
@@ -292,16 +295,22 @@
 	t.fail(objectapi.Errorf("InternalError", "We encountered an internal error; whether the request was done is not known."), 500)
 }
 
+// settle counts a transaction that has its final answer.
+func (t *transaction) settle() {
+	t.ended = true
+	g := t.conn.lane.g
+	g.busy.Add(-1)
+	g.metrics.done(t)
+	g.logAccess(t)
+}
+
 // finish ends a transaction whose answer is written, and goes on to the next.
 func (t *transaction) finish() {
 	if t.ended {
 		return
 	}
-	t.ended = true
+	t.settle()
 	c, l := t.conn, t.conn.lane
-	l.g.busy.Add(-1)
-	l.g.metrics.done(t)
-	l.g.logAccess(t)
 	t.calls, t.from, t.up = nil, nil, nil
 	c.ex = nil
 	if t.close || l.g.draining.Load() {
@@ -404,10 +413,7 @@
 	}
 	if cut {
 		t.status = 0
-		t.ended = true
-		t.conn.lane.g.busy.Add(-1)
-		t.conn.lane.g.metrics.done(t)
-		t.conn.lane.g.logAccess(t)
+		t.settle()
 		t.conn.c.Reset()
 		return
 	}
--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -28,8 +28,7 @@
 	l := t.conn.lane
 	src := l.volumeOf(t.op.FromBucket)
 	if src == nil {
-		e := objectapi.Errorf("NoSuchBucket", "No rule of this gateway's settings fits the source's bucket.")
-		t.fail(e, e.Status())
+		t.deny(objectapi.Errorf("NoSuchBucket", "No rule of this gateway's settings fits the source's bucket."))
 		return
 	}
 	from, to := src.place.Shard(t.op.FromKey), t.shard()
@@ -66,8 +65,7 @@
 	case r.kind == answered && (r.resp.Status == 200 || r.resp.Status == 206):
 		c.write(r.resp, append([]byte(nil), r.body...), int64(len(r.body)), false)
 	case r.kind == answered && (r.resp.Status == 304 || r.resp.Status == 412):
-		e := objectapi.Errorf("PreconditionFailed", "At least one of the pre-conditions you specified did not hold")
-		t.fail(e, e.Status())
+		t.deny(objectapi.Errorf("PreconditionFailed", "At least one of the pre-conditions you specified did not hold"))
 	case r.kind == streamed:
 		c.from = nil
 		c.flush()
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -68,28 +68,11 @@
 
 // route puts an action into its lane's queue.
 func (c *core) route(a exchange.Action) {
-	var lane exchange.Lane
-	switch a := a.(type) {
-	case exchange.Dial:
-		lane = a.Lane
-	case exchange.Send:
-		lane = a.Lane
-	case exchange.Close:
-		lane = a.Lane
-	case exchange.Deliver:
-		lane = a.Lane
-	case exchange.Drop:
-		lane = a.Lane
-	case exchange.Refuse:
-		lane = a.Lane
-	case exchange.Fail:
-		lane = a.Lane
-	case exchange.Cut:
-		lane = a.Lane
-	case exchange.SetTimer:
-		c.timer.Reset(max(a.At-c.now(), 0))
-		return
-	case exchange.Ask:
+	lane, ok := a.On()
+	if !ok {
+		if t, timer := a.(exchange.SetTimer); timer {
+			c.timer.Reset(max(t.At-c.now(), 0))
+		}
 		return // lists are told here, not asked for
 	}
 	l := c.lanes[lane]
--- a/gateway/fanout.go
+++ b/gateway/fanout.go
@@ -153,8 +153,7 @@
 			return
 		}
 		if !slices.ContainsFunc(parts, func(p part) bool { return p.status == 200 }) {
-			e := objectapi.Errorf("BucketAlreadyOwnedByYou", "Your previous request to create the named bucket succeeded and you already own it.")
-			t.fail(e, e.Status())
+			t.deny(objectapi.Errorf("BucketAlreadyOwnedByYou", "Your previous request to create the named bucket succeeded and you already own it."))
 			return
 		}
 		t.reply(200, http1.AppendHeader([]byte(nil), "Location", "/"+t.op.Bucket), nil)
@@ -170,7 +169,7 @@
 	remake := func(gone []choice.Shard) {
 		t.fan(gone, func(_ int, s choice.Shard) (*call, choice.Request) {
 			return t.shardCall(objectapi.CreateBucket, "PUT", t.op.Bucket, nil, s, nil)
-		}, func([]part) { t.fail(notEmpty, notEmpty.Status()) })
+		}, func([]part) { t.deny(notEmpty) })
 	}
 	remove := func() {
 		t.fan(shards, func(_ int, s choice.Shard) (*call, choice.Request) {
@@ -202,7 +201,7 @@
 		}
 		for _, p := range parts {
 			if page, err := objectapi.ParseList(p.doc); p.status == 200 && (err != nil || len(page.Contents) > 0) {
-				t.fail(notEmpty, notEmpty.Status())
+				t.deny(notEmpty)
 				return
 			}
 		}
@@ -237,8 +236,7 @@
 		if tok := in.Get("continuation-token"); tok != "" {
 			b, err := base64.URLEncoding.DecodeString(tok)
 			if err != nil {
-				e := objectapi.Errorf("InvalidArgument", "The continuation token provided is incorrect")
-				t.fail(e, e.Status())
+				t.deny(objectapi.Errorf("InvalidArgument", "The continuation token provided is incorrect"))
 				return
 			}
 			after = string(b)
@@ -366,7 +364,7 @@
 func (t *transaction) deleteObjects() {
 	req, err := objectapi.ParseDelete(t.held)
 	if err != nil {
-		t.fail(err, err.Status())
+		t.deny(err)
 		return
 	}
 	byShard := map[choice.Shard][]objectapi.ObjectIdentifier{}
@@ -400,7 +398,7 @@
 				}
 			}
 			if e.Code == "NoSuchBucket" {
-				t.fail(e, e.Status())
+				t.deny(e)
 				return
 			}
 			for _, o := range byShard[p.shard] {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -64,7 +64,7 @@
 	}
 	op, err := objectapi.Parse(r, g.cfg.Domains)
 	if err != nil {
-		t.fail(err, err.Status())
+		t.deny(err)
 		return
 	}
 	t.op = op
@@ -75,17 +75,16 @@
 	}
 	t.key = (*g.keys.Load())[auth.KeyID]
 	if err := t.allowed(); err != nil {
-		t.fail(err, err.Status())
+		t.deny(err)
 		return
 	}
 	if err := unsupported(r.Headers); err != nil {
-		t.fail(err, err.Status())
+		t.deny(err)
 		return
 	}
 	if op.Bucket != "" {
 		if t.vol = l.volumeOf(op.Bucket); t.vol == nil {
-			e := objectapi.Errorf("NoSuchBucket", "No rule of this gateway's settings fits the bucket.")
-			t.fail(e, e.Status())
+			t.deny(objectapi.Errorf("NoSuchBucket", "No rule of this gateway's settings fits the bucket."))
 			return
 		}
 	}
@@ -136,14 +135,13 @@
 func (t *transaction) takeBody(r *http1.Request, auth *sigv4.Auth) {
 	c, lim := t.conn, t.conn.lane.g.cfg.Limits
 	if !r.HasLength && !r.Chunked && t.op.Kind != objectapi.CreateBucket {
-		e := objectapi.Errorf("MissingContentLength", "You must provide the Content-Length HTTP header.")
-		t.fail(e, e.Status())
+		t.deny(objectapi.Errorf("MissingContentLength", "You must provide the Content-Length HTTP header."))
 		return
 	}
 	body, err := payload.New(r, auth)
 	if err != nil {
 		t.close = t.close || !r.None()
-		t.fail(err, err.Status())
+		t.deny(err)
 		return
 	}
 	t.body = body
@@ -152,8 +150,7 @@
 		most = maxObject
 	}
 	if body.Length > most {
-		e := objectapi.Errorf("EntityTooLarge", "Your proposed upload exceeds the maximum allowed size.")
-		t.fail(e, e.Status())
+		t.deny(objectapi.Errorf("EntityTooLarge", "Your proposed upload exceeds the maximum allowed size."))
 		return
 	}
 	if t.op.Kind.Streams() && (body.Length < 0 || body.Length > int64(lim.Replay)) {
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -19,7 +19,6 @@
 	trailer string    // the checksum's name, with chunked
 	last    []byte    // held back
 	flowing bool      // the exchange was told that the body flows
-	ended   bool
 }
 
 // start begins to pass the body on.
@@ -49,9 +48,7 @@
 	}
 	used, done, err := t.body.Feed(b, u.pass)
 	if err != nil {
-		u.ended = true
-		c.lane.take(u.call.id)
-		c.lane.tell(exchange.Abandon{ID: u.call.id})
+		u.abandon()
 		t.bodyFailed(err)
 		return used
 	}
@@ -69,6 +66,13 @@
 	return used
 }
 
+// abandon ends the request to the node: its body proved bad or stopped coming.
+func (u *upload) abandon() {
+	l := u.t.conn.lane
+	l.take(u.call.id)
+	l.tell(exchange.Abandon{ID: u.call.id})
+}
+
 func (u *upload) pass(p []byte) {
 	if u.chunked {
 		l := u.t.conn.lane
@@ -89,7 +93,6 @@
 
 // finish gives the node the end of a body that was found true.
 func (u *upload) finish() {
-	u.ended = true
 	t := u.t
 	t.whole = true
 	switch {
@@ -115,9 +118,7 @@
 	case u.k.c.Pending() > 0:
 		u.k.lose()
 	default:
-		u.ended = true
-		c.lane.take(u.call.id)
-		c.lane.tell(exchange.Abandon{ID: u.call.id})
+		u.abandon()
 		u.t.close = true
 		u.t.refuseBody(objectapi.Errorf("RequestTimeout", "Your socket connection to the server was not read from or written to within the timeout period."))
 	}
--- a/lab/bench/bench.go
+++ b/lab/bench/bench.go
@@ -82,7 +82,7 @@
 	wg.Wait()
 	f.Took = time.Since(start)
 	f.CPU = cpuOf(t.Peer.PID) - cpu
-	f.Peak = peakOf(t.Peer.PID)
+	f.Peak = Peak(t.Peer.PID)
 	return f, failed
 }
 
@@ -165,8 +165,8 @@
 	return time.Duration(u+s) * 10 * time.Millisecond
 }
 
-// peakOf returns the most memory that a process has held.
-func peakOf(pid int) int64 {
+// Peak returns the most memory that a process has held, in bytes.
+func Peak(pid int) int64 {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
@@ -272,9 +272,6 @@
 	"log": {"level": "error"},
 }`
 
-// Peak returns the most memory that a process has held, in bytes.
-func Peak(pid int) int64 { return peakOf(pid) }
-
 // Median returns the run with the median rate.
 func Median(fs []Figures) Figures {
 	s := slices.Clone(fs)
--- a/standin/storage/api.go
+++ b/standin/storage/api.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -146,7 +145,7 @@
 // encoder returns how names are written under the request's encoding-type.
 func encoder(o objectapi.Operation) func(string) string {
 	if o.Query.Get("encoding-type") == "url" {
-		return func(s string) string { return strings.ReplaceAll(url.QueryEscape(s), "%2F", "/") }
+		return objectapi.EncodeName
 	}
 	return func(s string) string { return s }
 }
