--- a/exchange/api.go
+++ b/exchange/api.go
@@ -29,6 +29,8 @@
 	// Streams bounds the bodies that flow to or from one node without a place in
 	// choice's depth. It must be below ConnsPerNode: the rest is for what choice sends.
 	Streams int
+	Conns   int           // bound on connections to all nodes; 0: none
+	Rest    time.Duration // after an answer, before a connection carries another request; may be 0
 	IdleFor time.Duration // an unused connection is closed after this
 	MaxAge  time.Duration // a connection is not used again when it is older
 	Connect time.Duration // bound on opening a connection
@@ -47,6 +49,8 @@
 		return errors.New("ConnsPerNode: want at least 1")
 	case c.Streams < 0 || c.Streams >= c.ConnsPerNode:
 		return errors.New("Streams: want 0 to below ConnsPerNode")
+	case c.Conns < 0 || c.Rest < 0:
+		return errors.New("Conns, Rest: want at least 0")
 	case c.IdleFor <= 0 || c.MaxAge <= 0 || c.Connect <= 0:
 		return errors.New("IdleFor, MaxAge, Connect: want above 0")
 	case c.MaxCalls < 1:
@@ -133,7 +137,14 @@
 }
 
 // Lost tells that a connection ended, or that what came on it was no answer.
-type Lost struct{ Conn ConnID }
+type Lost struct {
+	Conn ConnID
+	// Unsent tells that its request was not wholly written, and so never ran.
+	Unsent bool
+	// Stale tells that nothing of its request was written: the connection, which had been
+	// idle, was of no use any more.
+	Stale bool
+}
 
 // Fired is a timer that the exchange has set.
 type Fired struct{}
@@ -172,6 +183,7 @@
 	ID      choice.RequestID
 	Node    choice.NodeID
 	Attempt int
+	Until   time.Duration // then the attempt is given up
 }
 
 // Close ends a connection. Whatever still comes on it is thrown away.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -155,7 +155,7 @@
 	case Answered:
 		x.onAnswered(e)
 	case Lost:
-		x.onLost(e.Conn)
+		x.onLost(e)
 	case Fired:
 		x.wakeAt = math.MaxInt64
 	}
@@ -323,6 +323,11 @@
 		x.end(c, choice.Moot, Word{})
 		return
 	}
+	x.connect(c, n)
+}
+
+// connect finds or opens a connection for a call's attempt.
+func (x *Exchange) connect(c *call, n *node) {
 	if k := x.take(n, c.lane); k != nil {
 		x.carry(k, c)
 		return
@@ -434,11 +439,13 @@
 // ---- Connections to nodes.
 
 // take finds a connection that is ready on the lane, the last used first: the
-// others grow old and are closed.
+// others grow old and are closed. One whose answer has just come rests: what a broken
+// node sends after its answer, a second copy or noise, must not be taken for the answer
+// of the next request. It costs a connection more where requests follow closely.
 func (x *Exchange) take(n *node, lane Lane) *conn {
 	for i := len(n.idle) - 1; i >= 0; i-- {
 		k := n.idle[i]
-		if k.lane != lane {
+		if k.lane != lane || x.now-k.since < x.cfg.Rest {
 			continue
 		}
 		if x.now-k.born >= x.cfg.MaxAge || x.now-k.since >= x.cfg.IdleFor {
@@ -460,6 +467,9 @@
 		}
 		x.close(n.idle[0])
 	}
+	if x.cfg.Conns > 0 && len(x.conns) >= x.cfg.Conns && !x.closeIdle() {
+		return nil
+	}
 	x.lastID++
 	k := &conn{id: x.lastID, node: n, lane: lane, born: x.now}
 	x.conns[k.id] = k
@@ -468,12 +478,26 @@
 	return k
 }
 
+// closeIdle closes the connection that has been idle for the longest, of whatever node.
+func (x *Exchange) closeIdle() bool {
+	var oldest *conn
+	for _, n := range x.order {
+		if len(n.idle) > 0 && (oldest == nil || n.idle[0].since < oldest.since) {
+			oldest = n.idle[0]
+		}
+	}
+	if oldest != nil {
+		x.close(oldest)
+	}
+	return oldest != nil
+}
+
 // carry sends a call on a connection. It is the only place from which a request
 // leaves for a node.
 func (x *Exchange) carry(k *conn, c *call) {
 	k.state, k.call, c.conn, c.stage = busy, c, k, out
 	x.sent(c, k.node)
-	x.act(Send{Conn: k.id, Lane: k.lane, ID: c.req.ID, Node: k.node.ID, Attempt: c.attempt})
+	x.act(Send{Conn: k.id, Lane: k.lane, ID: c.req.ID, Node: k.node.ID, Attempt: c.attempt, Until: c.timer.at})
 }
 
 func (x *Exchange) onDialed(e Dialed) {
@@ -608,8 +632,8 @@
 	}
 }
 
-func (x *Exchange) onLost(id ConnID) {
-	k := x.conns[id]
+func (x *Exchange) onLost(e Lost) {
+	k := x.conns[e.Conn]
 	if k == nil {
 		return
 	}
@@ -623,7 +647,22 @@
 	case opening:
 		x.end(c, choice.ConnectFailed, Word{})
 	case out:
-		x.end(c, choice.Dropped, Word{})
+		n := k.node
+		switch {
+		case e.Stale && n.State == choice.Serving && x.now < c.timer.at && !x.tooLate(c):
+			// An idle connection that the node had closed, or that holds what is no answer: the
+			// attempt has not begun, and goes on with another. Each takes one idle connection
+			// out, so this ends.
+			x.leaves(c)
+			c.stage = opening
+			x.connect(c, n)
+		case e.Stale:
+			x.end(c, choice.Moot, Word{})
+		case e.Unsent:
+			x.end(c, choice.ConnectFailed, Word{})
+		default:
+			x.end(c, choice.Dropped, Word{})
+		}
 	case passing:
 		x.served(c)
 		x.conclude(c, Cut{ID: c.req.ID, Lane: c.lane})
--- a/floors_test.go
+++ b/floors_test.go
@@ -17,6 +17,7 @@
 var floors = map[string]int{
 	"choice": 1, "exchange": 1, "placement": 1, "tariff": 1, "accounts": 1, "share": 1,
 	"internal/http1": 2, "internal/sigv4": 2, "internal/objectapi": 2, "internal/payload": 2, "internal/upstream": 2,
+	"internal/wire": 2, "internal/resp": 2, "internal/objcmd": 2, "internal/targets": 2,
 }
 
 // upward are imports against the order of the floors that stand for a reason.
--- a/internal/explore/fingerprint.go
+++ b/internal/explore/fingerprint.go
@@ -54,7 +54,7 @@
 	"exchange.call.told": skip, "exchange.call.entry": skip, "exchange.call.untold": skip, "exchange.node.out": skip, "exchange.Word.Timed": skip, "exchange.Word.Queue": skip, "exchange.Word.Work": skip,
 	"exchange.conn.id": rank, "exchange.conn.born": moment, "exchange.conn.since": moment,
 	"exchange.timer.at": near, "exchange.timer.seq": skip, "exchange.timer.pos": skip,
-	"exchange.Accounted.Entry": skip, "exchange.Dial.Conn": rank, "exchange.Send.Conn": rank, "exchange.Close.Conn": rank, "exchange.Deliver.Conn": rank,
+	"exchange.Accounted.Entry": skip, "exchange.Dial.Conn": rank, "exchange.Send.Conn": rank, "exchange.Send.Until": due, "exchange.Close.Conn": rank, "exchange.Deliver.Conn": rank,
 	"exchange.Drop.Conn": rank, "exchange.Dial.Timeout": span, "exchange.Refuse.After": span, "exchange.SetTimer.At": moment,
 
 	"choice.Node.Started": moment, "choice.Request.Left": skip, // only on arrival
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -26,6 +26,7 @@
 	short  bool                           // it could not accept for want of descriptors or memory
 	task   *task                          // in the place of a socket
 
+	opening  bool // until the kernel tells whether it is connected
 	starting bool // what comes next is the beginning of something
 	paused   bool
 	closing  bool // after what waits to be written
@@ -254,6 +255,9 @@
 
 // due tells whether there is something to move.
 func (c *Conn) due() bool {
+	if c.opening {
+		return c.fd >= 0 && c.writable
+	}
 	return c.task != nil || c.fd >= 0 && (c.writable && c.Pending() > 0 || !c.paused && (c.readable || c.again && len(c.in) > 0))
 }
 
@@ -268,6 +272,9 @@
 	case c.accept != nil:
 		c.acceptSome()
 		return 0
+	case c.opening:
+		c.opened()
+		return 0
 	}
 	if c.writable = false; c.Pending() > 0 && !c.flush() {
 		return 0
@@ -330,3 +337,14 @@
 		c.in = append(make([]byte, 0, len(b)-used), b[used:]...)
 	}
 }
+
+// Quiet tells whether nothing has come that no handler has seen, an end included. It asks
+// the kernel, which may know more than the loop was told.
+func (c *Conn) Quiet() bool {
+	if c.fd < 0 || c.ended || len(c.in) > 0 {
+		return false
+	}
+	var b [1]byte
+	_, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == unix.EAGAIN
+}
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"runtime"
 	"sync"
@@ -428,6 +429,53 @@
 	return c, nil
 }
 
+// Opener is a handler that uses Loop.Connect.
+type Opener interface {
+	Handler
+	// OnOpen tells that the connection is there.
+	OnOpen(c *Conn)
+}
+
+// Connect opens a connection on the loop itself, without a goroutine and with one descriptor.
+// h hears OnOpen, or OnClose with the reason why not; how long that may take is for the caller to
+// bound, with Close. On the loop only.
+func (l *Loop) Connect(to netip.AddrPort, h Opener) (*Conn, error) {
+	var sa unix.Sockaddr
+	family := unix.AF_INET
+	if to.Addr().Unmap().Is4() {
+		sa = &unix.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().Unmap().As4()}
+	} else {
+		family, sa = unix.AF_INET6, &unix.SockaddrInet6{Port: int(to.Port()), Addr: to.Addr().As16()}
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, os.NewSyscallError("socket", err)
+	}
+	if err := unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS && err != unix.EINTR {
+		unix.Close(fd)
+		return nil, os.NewSyscallError("connect", err)
+	}
+	c, err := l.Add(fd, h)
+	if err == nil {
+		c.opening = true
+	}
+	return c, err
+}
+
+// opened asks the kernel how the opening of a connection ended.
+func (c *Conn) opened() {
+	e, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && e != 0 {
+		err = unix.Errno(e)
+	}
+	if err != nil {
+		c.shut(os.NewSyscallError("connect", err))
+		return
+	}
+	c.opening = false
+	c.Handler.(Opener).OnOpen(c)
+}
+
 // Dial connects in the background and calls done on the loop, with the socket or
 // an error. The wait is bounded by timeout.
 func (l *Loop) Dial(addr string, timeout time.Duration, done func(fd int, err error)) {
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -16,6 +16,7 @@
 	err error
 }
 
+// config reads the settings as the simulator writes them: path=value pairs.
 func config(s string) (choice.Config, error) {
 	p := settings{m: map[string]string{}}
 	for _, kv := range strings.Fields(s) {
@@ -25,6 +26,11 @@
 		}
 		p.m[k] = v
 	}
+	return p.choice()
+}
+
+// choice reads what the decisions use.
+func (p *settings) choice() (choice.Config, error) {
 	c := choice.Config{
 		Me: p.integer("me"), Peers: p.integer("peers_total"),
 		Cancel:        p.boolean("limits.cancel"),
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -374,12 +374,21 @@
 	if s == "-" || f.err != nil {
 		return nil
 	}
+	r := Report(s, ":")
+	if r == nil {
+		f.bad("report", "name:number pairs", s)
+	}
+	return r
+}
+
+// Report reads a load report: names and values with a mark between them, set apart by
+// commas. It returns nil where it can't be read.
+func Report(s, mark string) choice.Report {
 	r := choice.Report{}
 	for _, p := range strings.Split(s, ",") {
-		k, v, ok := strings.Cut(p, ":")
+		k, v, ok := strings.Cut(p, mark)
 		x, err := strconv.ParseFloat(v, 64)
 		if !ok || err != nil || k == "" {
-			f.bad("report", "name:number pairs", s)
 			return nil
 		}
 		if name, ok := loads[k]; ok {
--- /dev/null
+++ b/relayfront/client.go
@@ -0,0 +1,285 @@
+package relayfront
+
+import (
+	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"chalkstand/exchange"
+	"chalkstand/internal/netloop"
+	"chalkstand/internal/objcmd"
+	"chalkstand/internal/resp"
+)
+
+// client is a connection from a client. Its commands run side by side; answers leave in
+// the order of the commands.
+type client struct {
+	f     *Front
+	c     *netloop.Conn
+	queue []*entry // commands that are not answered yet, the oldest first
+	born  time.Duration
+	last  time.Duration // something was asked or answered
+	spoke bool          // a whole command has come
+	part  time.Duration // since when a command has begun and not ended; 0: none
+	bad   int           // commands that were answered with an error
+	dead  bool          // what comes is thrown away; it ends when all is answered
+	ended bool          // our side, at
+	endAt time.Duration
+}
+
+// entry is the place of an answer.
+type entry struct {
+	done  bool
+	reply []byte
+}
+
+// Bounds of a client's connection.
+const (
+	maxOpen    = 64                      // commands that are not answered yet
+	maxPending = 128 << 10               // bytes that wait to be written, then nothing more is read
+	mostBad    = 16                      // commands answered with an error, then it is closed
+	silentFor  = 2500 * time.Millisecond // without a whole command
+	idleFor    = 10 * time.Second        // without an open request
+	youngest   = 2 * time.Second         // idle for so long, it may be closed for another
+	lingerFor  = 300 * time.Millisecond  // after the last answer, for what is still on its way
+)
+
+func (f *Front) accept(fd int, _ unix.Sockaddr) {
+	if len(f.clients) >= f.cfg.clientConns() && !f.makeRoom() {
+		unix.Close(fd)
+		return
+	}
+	cl := &client{f: f, born: f.now()}
+	cl.last = cl.born
+	c, err := f.loop.Add(fd, cl)
+	if err != nil {
+		return // the loop has closed it
+	}
+	cl.c = c
+	c.Assign(f.flows.clients)
+	f.clients = append(f.clients, cl)
+}
+
+// makeRoom closes the connection that has been without use for the longest: first those that
+// have never said anything, then those on which no request is open.
+func (f *Front) makeRoom() bool {
+	var worst *client
+	now := f.now()
+	for _, cl := range f.clients {
+		if len(cl.queue) > 0 || cl.spoke && now-cl.last < youngest || !cl.spoke && cl.part > 0 {
+			continue
+		}
+		if worst == nil || worst.spoke && !cl.spoke || worst.spoke == cl.spoke && cl.last < worst.last {
+			worst = cl
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	worst.c.Close()
+	return true
+}
+
+// OnData takes commands.
+func (cl *client) OnData(c *netloop.Conn, b []byte) int {
+	if cl.dead {
+		return len(b)
+	}
+	words, n, err := resp.Command(b, cl.f.words[:0])
+	if err != nil {
+		cl.refuseAll("ERR Protocol error: " + err.Error())
+		return len(b)
+	}
+	if n == 0 {
+		if cl.part == 0 {
+			cl.part = cl.f.now()
+		}
+		return 0
+	}
+	cl.f.words = words[:0]
+	cl.spoke, cl.part, cl.last = true, 0, cl.f.now()
+	cl.command(words)
+	if c.Pending() > maxPending {
+		c.Pause()
+	}
+	return n
+}
+
+// refuseAll ends a connection of which nothing more can be understood: what was taken is
+// answered, then the error follows.
+func (cl *client) refuseAll(text string) {
+	cl.say(resp.Failure, text)
+	cl.dead = true
+	cl.c.Assign(cl.f.flows.bad)
+	cl.endIfDone()
+}
+
+func (cl *client) command(words [][]byte) {
+	switch name := string(words[0]); {
+	case objcmd.Is(words[0]):
+		cl.object(words)
+	case equal(name, "PING"):
+		cl.say(resp.Simple, "PONG")
+	case equal(name, "CLIENT"), equal(name, "SELECT"):
+		cl.say(resp.Simple, "OK")
+	default:
+		cl.wrong("ERR unknown command: expected OBJ.GET, OBJ.PUT or PING")
+	}
+}
+
+// equal compares a word with a name in capitals.
+func equal(word, name string) bool {
+	if len(word) != len(name) {
+		return false
+	}
+	for i := range len(name) {
+		if word[i]&^0x20 != name[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// wrong answers a command that is readable and can't be done. Who sends many has its
+// connection closed.
+func (cl *client) wrong(text string) {
+	if cl.bad++; cl.bad >= mostBad {
+		cl.refuseAll(text)
+		return
+	}
+	cl.say(resp.Failure, text)
+}
+
+// object takes a request.
+func (cl *client) object(words [][]byte) {
+	f := cl.f
+	cmd, err := f.terms.Parse(words)
+	if err != nil {
+		cl.wrong("ERR " + err.Error())
+		return
+	}
+	if f.ids[string(cmd.ID)] != nil {
+		cl.wrong("ERR id: expected a new one, got that of an open request")
+		return
+	}
+	size := len(cmd.Piece) + len(cmd.ID) + len(cmd.Fields) + len(cmd.Body)
+	if len(cl.queue) >= maxOpen || f.held+size > f.most {
+		cl.reply(f.busyAnswer(f.cfg.Settings.Choice.MaxRetryAfter))
+		return
+	}
+	f.lastID++
+	t := &task{id: f.lastID, cl: cl, entry: &entry{}, cmd: cmd}
+	t.buf = make([]byte, 0, size)
+	keep := func(b []byte) []byte {
+		from := len(t.buf)
+		t.buf = append(t.buf, b...)
+		return t.buf[from:len(t.buf):len(t.buf)]
+	}
+	t.cmd.Piece, t.cmd.ID, t.cmd.Fields, t.cmd.Body = keep(cmd.Piece), keep(cmd.ID), keep(cmd.Fields), keep(cmd.Body)
+	f.held += size
+	f.tasks[t.id], f.ids[string(t.cmd.ID)] = t, t
+	cl.queue = append(cl.queue, t.entry)
+	t.cmd.Request.ID = t.id
+	f.tell(exchange.Begin{Request: t.cmd.Request})
+}
+
+// say answers a command with a line, in its turn.
+func (cl *client) say(k resp.Kind, text string) {
+	cl.f.scratch = resp.AppendLine(cl.f.scratch[:0], k, text)
+	cl.reply(cl.f.scratch)
+}
+
+// reply answers the last command, in its turn.
+func (cl *client) reply(b []byte) {
+	if len(cl.queue) == 0 {
+		cl.c.Write(b)
+		return
+	}
+	e := &entry{}
+	cl.queue = append(cl.queue, e)
+	cl.answered(e, b)
+}
+
+// answered puts an answer in its place; what is at the head leaves.
+func (cl *client) answered(e *entry, b []byte) {
+	if len(cl.queue) == 0 || !cl.c.Open() {
+		return // it has left
+	}
+	cl.last = cl.f.now()
+	if cl.queue[0] != e {
+		e.done, e.reply = true, append([]byte(nil), b...)
+		cl.f.held += len(b)
+		return
+	}
+	cl.c.Write(b)
+	cl.queue = cl.queue[1:]
+	for len(cl.queue) > 0 && cl.queue[0].done {
+		h := cl.queue[0]
+		cl.queue = cl.queue[1:]
+		cl.f.held -= len(h.reply)
+		cl.c.Write(h.reply)
+	}
+	if len(cl.queue) == 0 {
+		cl.queue = nil
+	}
+	cl.endIfDone()
+}
+
+// endIfDone ends our side of a dead connection once all is answered. What the client still
+// sends is read and thrown away for a while: a reset would destroy the error on its way.
+func (cl *client) endIfDone() {
+	if cl.dead && len(cl.queue) == 0 && !cl.ended {
+		cl.ended, cl.endAt = true, cl.f.now()
+		cl.c.EndWrite()
+	}
+}
+
+// OnDrained reads on.
+func (cl *client) OnDrained(c *netloop.Conn) {
+	if c.Paused() {
+		c.Resume()
+	}
+}
+
+// OnClose tells that the client has left with what it had open.
+func (cl *client) OnClose(*netloop.Conn, error) {
+	f := cl.f
+	if i := slices.Index(f.clients, cl); i >= 0 {
+		f.clients[i] = f.clients[len(f.clients)-1]
+		f.clients[len(f.clients)-1] = nil
+		f.clients = f.clients[:len(f.clients)-1]
+	}
+	for _, e := range cl.queue {
+		if e.done {
+			f.held -= len(e.reply)
+		}
+	}
+	if len(cl.queue) == 0 {
+		return
+	}
+	cl.queue = nil
+	for _, t := range f.tasks {
+		if t.cl == cl {
+			f.forget(t)
+			f.tell(exchange.Gone{ID: t.id})
+		}
+	}
+}
+
+// sweep closes connections whose time has come.
+func (f *Front) sweep(now time.Duration) {
+	for _, cl := range append(make([]*client, 0, len(f.clients)), f.clients...) {
+		switch {
+		case cl.ended && now-cl.endAt > lingerFor, // all is said
+			cl.dead && now-cl.born > silentFor && now-cl.last > lingerFor,
+			!cl.spoke && now-cl.born > silentFor, // owed a close
+			cl.part > 0 && now-cl.part > silentFor && len(cl.queue) == 0,
+			cl.spoke && len(cl.queue) == 0 && now-cl.last > idleFor && cl.c.Pending() == 0 && cl.c.Quiet():
+			cl.c.Close()
+		}
+	}
+	if f.stopping {
+		f.ends(now)
+	}
+}
--- /dev/null
+++ b/relayfront/front.go
@@ -0,0 +1,361 @@
+// Package relayfront is the front of the platform's protocol: clients ask in RESP, and
+// storage nodes are asked in RESP. One event loop owns the sockets, the exchange and the
+// decisions; nothing on the path of a request crosses goroutines. It moves bytes and
+// says what happened; what is sent, held, refused or repeated, and how nodes are judged,
+// is said by choice through exchange.
+package relayfront
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"chalkstand/choice"
+	"chalkstand/exchange"
+	"chalkstand/internal/discover"
+	"chalkstand/internal/netloop"
+	"chalkstand/internal/objcmd"
+	"chalkstand/internal/resp"
+	"chalkstand/internal/targets"
+	"chalkstand/share"
+)
+
+// Front is one running dispatcher. All its fields belong to its loop.
+type Front struct {
+	cfg   Config
+	log   *zap.Logger
+	terms *objcmd.Terms
+	loop  *netloop.Loop
+	x     *exchange.Exchange
+	start time.Time
+	epoch time.Duration // of the start, by the Unix clock
+
+	inbox []exchange.Event
+	busy  bool
+	wake  time.Duration // what the exchange asked for
+
+	nodes   map[exchange.ConnID]*nodeConn
+	dials   []*nodeConn // being opened, the oldest first
+	clients []*client
+	tasks   map[choice.RequestID]*task
+	ids     map[string]*task // open requests by their clients' ids
+	lastID  choice.RequestID
+	held    int // bytes of commands and answers kept
+	most    int // of them
+
+	words   [][]byte
+	answer  resp.Answer
+	scratch []byte
+
+	flows   struct{ fresh, clients, nodes, bad *netloop.Flow }
+	sweepAt time.Duration
+
+	discovery netip.AddrPort
+	version   int64
+	watch     *watch // the present one
+	old       *watch // at the address before, until the present one has told something
+
+	stopping  bool
+	stopAt    time.Duration // since
+	unlistens bool
+	done      chan struct{}
+}
+
+// task is an open request.
+type task struct {
+	id    choice.RequestID
+	cl    *client
+	entry *entry
+	cmd   objcmd.Command // its words are in buf
+	buf   []byte
+}
+
+// heldPart of the memory limit may be bytes of commands and answers.
+const heldPart = 0.15
+
+// New opens a dispatcher's listener and loop. Run runs it.
+func New(cfg Config, log *zap.Logger) (*Front, error) {
+	x, err := exchange.New(cfg.exchange())
+	if err != nil {
+		return nil, err
+	}
+	f := &Front{cfg: cfg, log: log, terms: objcmd.NewTerms(cfg.Settings), x: x, start: time.Now(), wake: math.MaxInt64,
+		nodes: map[exchange.ConnID]*nodeConn{}, tasks: map[choice.RequestID]*task{}, ids: map[string]*task{},
+		most: int(cfg.MemoryMB * heldPart * (1 << 20)), discovery: cfg.Discovery, version: cfg.Known.Version, done: make(chan struct{})}
+	f.epoch = time.Duration(f.start.UnixNano())
+	o := netloop.Defaults
+	o.Now = func() time.Duration { return time.Since(f.start) }
+	if f.loop, err = netloop.NewLoopWith(0, o); err != nil {
+		return nil, err
+	}
+	f.flows.fresh = f.loop.Flow("new", share.Terms{Weight: 2}, nil)
+	f.flows.clients = f.loop.Flow("clients", share.Terms{Weight: 4}, nil)
+	f.flows.nodes = f.loop.Flow("nodes", share.Terms{Weight: 16}, nil)
+	f.flows.bad = f.loop.Flow("bad", share.Terms{Weight: 0.5}, nil)
+	ln, err := net.Listen("tcp", cfg.Listen.String())
+	if err != nil {
+		return nil, err
+	}
+	defer ln.Close()
+	fd, err := netloop.Detach(ln.(*net.TCPListener))
+	if err != nil {
+		return nil, err
+	}
+	if err := f.loop.Listen(fd, f.flows.fresh, f.accept); err != nil {
+		return nil, err
+	}
+	f.loop.Alarm(f.nextAlarm, f.ring)
+	return f, nil
+}
+
+// Run serves until Stop has let it end.
+func (f *Front) Run() error {
+	f.tell(exchange.Nodes{Kind: choice.Persisted, Nodes: f.cfg.Known.Nodes})
+	return f.loop.Run()
+}
+
+// now is the time by the Unix clock at the start, and steady from there.
+func (f *Front) now() time.Duration { return f.epoch + time.Since(f.start) }
+
+// tell hands an event to the exchange and does what it says, in order.
+func (f *Front) tell(ev exchange.Event) {
+	f.inbox = append(f.inbox, ev)
+	if f.busy {
+		return
+	}
+	f.busy = true
+	for i := 0; i < len(f.inbox); i++ {
+		for _, a := range f.x.Handle(f.now(), f.inbox[i]) {
+			f.do(a)
+		}
+	}
+	clear(f.inbox)
+	f.inbox, f.busy = f.inbox[:0], false
+}
+
+func (f *Front) do(a exchange.Action) {
+	switch a := a.(type) {
+	case exchange.Dial:
+		f.dial(a)
+	case exchange.Send:
+		if k, t := f.nodes[a.Conn], f.tasks[a.ID]; k != nil && t != nil {
+			k.send(t, a)
+		}
+	case exchange.Close:
+		if k := f.nodes[a.Conn]; k != nil {
+			delete(f.nodes, a.Conn)
+			k.c.Close()
+		}
+	case exchange.Deliver:
+		if t, k := f.tasks[a.ID], f.nodes[a.Conn]; t != nil && k != nil {
+			f.scratch = resp.AppendBulk(f.scratch[:0], k.value)
+			f.finish(t, f.scratch)
+		}
+	case exchange.Refuse:
+		if t := f.tasks[a.ID]; t != nil {
+			f.finish(t, f.busyAnswer(a.After))
+		}
+	case exchange.Fail:
+		if t := f.tasks[a.ID]; t != nil {
+			text := "ERR failed"
+			if a.Late {
+				text = "ERR failed: no answer in time"
+			}
+			f.scratch = resp.AppendLine(f.scratch[:0], resp.Failure, text)
+			f.finish(t, f.scratch)
+		}
+	case exchange.SetTimer:
+		f.wake = a.At
+	case exchange.Ask:
+		f.ask()
+	}
+}
+
+// busyAnswer is a refusal with the time to come back, in whole milliseconds.
+func (f *Front) busyAnswer(after time.Duration) []byte {
+	b := append(f.scratch[:0], "-BUSY "...)
+	b = strconv.AppendInt(b, int64((after+time.Millisecond-1)/time.Millisecond), 10)
+	f.scratch = append(b, '\r', '\n')
+	return f.scratch
+}
+
+// forget ends a request here.
+func (f *Front) forget(t *task) {
+	delete(f.tasks, t.id)
+	delete(f.ids, string(t.cmd.ID))
+	f.held -= len(t.buf)
+}
+
+// finish gives a request its final answer.
+func (f *Front) finish(t *task, reply []byte) {
+	f.forget(t)
+	t.cl.answered(t.entry, reply)
+}
+
+// ---- Time.
+
+// sweepEvery is how often connections are looked at.
+const sweepEvery = 50 * time.Millisecond
+
+// nextAlarm is by the loop's clock.
+func (f *Front) nextAlarm() (time.Duration, bool) {
+	at := min(f.wake, f.sweepAt)
+	if len(f.dials) > 0 {
+		at = min(at, f.dials[0].due)
+	}
+	return max(at-f.epoch, 0), true
+}
+
+func (f *Front) ring(time.Duration) {
+	now := f.now()
+	for len(f.dials) > 0 && (f.dials[0].due <= now || f.dials[0].opened || f.nodes[f.dials[0].id] != f.dials[0]) {
+		k := f.dials[0]
+		f.dials[0] = nil
+		f.dials = f.dials[1:]
+		if f.nodes[k.id] == k && !k.opened {
+			delete(f.nodes, k.id)
+			k.c.Close()
+			f.tell(exchange.Dialed{Conn: k.id})
+		}
+	}
+	if now >= f.wake {
+		f.wake = math.MaxInt64
+		f.tell(exchange.Fired{})
+	}
+	if now >= f.sweepAt {
+		f.sweepAt = now + sweepEvery
+		f.sweep(now)
+	}
+}
+
+// ---- Discovery.
+
+type watch struct {
+	cancel context.CancelFunc
+	told   bool
+}
+
+// Bounds of a watch: discovery answers within 2 s or not at all, and an empty line is due every 2 s.
+const (
+	discoveryAnswer  = 3 * time.Second
+	discoverySilence = 5 * time.Second
+)
+
+// ask opens a watch, where there is none.
+func (f *Front) ask() {
+	if f.watch != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &watch{cancel: cancel}
+	f.watch = w
+	discover.Watch(ctx, f.discovery.String(), f.version, discover.Options{Names: f.cfg.names(), Answer: discoveryAnswer, Silence: discoverySilence},
+		func(d targets.Document) { f.loop.Do(func() { f.listed(w, d) }) },
+		func(err error) { f.loop.Do(func() { f.watchEnded(w, err) }) })
+}
+
+// listed takes a document. One of an older version than what is known tells of the past,
+// unless it is the whole list at an address that has told nothing before.
+func (f *Front) listed(w *watch, d targets.Document) {
+	if w != f.watch && w != f.old {
+		return
+	}
+	first := !w.told
+	w.told = true
+	if w == f.watch && f.old != nil {
+		f.old.cancel()
+		f.old = nil
+	}
+	if d.Version < f.version && !(first && d.Full) {
+		f.log.Info("discovery told of the past", zap.Int64("version", d.Version), zap.Int64("known", f.version))
+		return
+	}
+	f.version = d.Version
+	kind := choice.Changes
+	if d.Full {
+		kind = choice.Complete
+	}
+	f.tell(exchange.Nodes{Kind: kind, Nodes: d.Nodes})
+}
+
+func (f *Front) watchEnded(w *watch, err error) {
+	w.cancel()
+	switch w {
+	case f.old:
+		f.old = nil
+	case f.watch:
+		f.watch = nil
+		f.log.Info("watch of discovery ended", zap.Error(err))
+		f.tell(exchange.Nodes{Kind: choice.Failed})
+	}
+}
+
+// Reload takes over what a new configuration may change while it runs: where discovery is. The
+// watch there is opened while the old one still stands.
+func (f *Front) Reload(cfg Config) {
+	f.loop.Do(func() {
+		if cfg.Discovery == f.discovery {
+			return
+		}
+		f.log.Info("discovery has moved", zap.Stringer("to", cfg.Discovery))
+		f.discovery = cfg.Discovery
+		if f.watch != nil {
+			if f.old != nil {
+				f.old.cancel()
+			}
+			f.old, f.watch = f.watch, nil
+		}
+		f.ask()
+	})
+}
+
+// ---- The end.
+
+// Times of a planned end.
+const (
+	goOn  = 500 * time.Millisecond // clients still come for up to 0.4 s
+	after = 600 * time.Millisecond // beyond the longest deadline, then it ends in any case
+)
+
+// Stop lets a dispatcher end: it goes on serving while clients still come, then closes
+// connections between requests, answers what it has taken, and ends.
+func (f *Front) Stop() {
+	f.loop.Do(func() {
+		if !f.stopping {
+			f.stopping, f.stopAt = true, f.now()
+		}
+	})
+}
+
+// ends goes on with a planned end.
+func (f *Front) ends(now time.Duration) {
+	if now < f.stopAt+goOn {
+		return
+	}
+	if !f.unlistens {
+		f.unlistens = true
+		f.loop.Unlisten()
+		return // what was accepted at the last moment is read first
+	}
+	for _, cl := range append([]*client(nil), f.clients...) {
+		if len(cl.queue) == 0 && cl.c.Pending() == 0 && cl.c.Quiet() {
+			cl.c.Close()
+		}
+	}
+	longest := time.Duration(0)
+	for _, c := range f.cfg.Settings.Choice.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	if len(f.clients) == 0 || now > f.stopAt+longest+after {
+		f.log.Info("ended", zap.Int("open", len(f.tasks)))
+		go f.loop.Stop()
+	}
+}
+
+// Addr is where a dispatcher listens.
+func (f *Front) Addr() string { return f.cfg.Listen.String() }
--- /dev/null
+++ b/relayfront/node.go
@@ -0,0 +1,115 @@
+package relayfront
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"chalkstand/choice"
+	"chalkstand/exchange"
+	"chalkstand/internal/netloop"
+	"chalkstand/internal/objcmd"
+)
+
+// nodeConn is a connection to a storage node. It carries one request at a time.
+type nodeConn struct {
+	f       *Front
+	id      exchange.ConnID
+	c       *netloop.Conn
+	due     time.Duration // until then it is to be open
+	opened  bool
+	used    bool  // it has carried a request before
+	task    *task // that it carries
+	written bool  // the task's last byte has left
+	value   []byte
+}
+
+func (f *Front) dial(a exchange.Dial) {
+	to, err := netip.ParseAddrPort(a.Addr)
+	k := &nodeConn{f: f, id: a.Conn, due: f.now() + a.Timeout}
+	if err == nil {
+		k.c, err = f.loop.Connect(to, k)
+	}
+	if err != nil {
+		f.tell(exchange.Dialed{Conn: a.Conn})
+		return
+	}
+	k.c.Assign(f.flows.nodes)
+	f.nodes[k.id] = k
+	f.dials = append(f.dials, k)
+}
+
+// OnOpen tells the exchange that the connection is there.
+func (k *nodeConn) OnOpen(*netloop.Conn) {
+	k.opened = true
+	k.f.tell(exchange.Dialed{Conn: k.id, OK: true})
+}
+
+// send writes a request. A connection on which something came since its last answer is of no
+// use: that would be taken for the answer of this one.
+func (k *nodeConn) send(t *task, a exchange.Send) {
+	if k.used && !k.c.Quiet() {
+		k.lose(exchange.Lost{Conn: k.id, Stale: true})
+		return
+	}
+	k.task, k.used = t, true
+	k.f.scratch = t.cmd.AppendTo(k.f.scratch[:0], a.Until-k.f.now())
+	k.c.Write(k.f.scratch)
+	k.written = k.c.Open() && k.c.Pending() == 0
+}
+
+// lose gives up a connection.
+func (k *nodeConn) lose(why exchange.Lost) {
+	delete(k.f.nodes, k.id)
+	k.task = nil
+	k.c.Close()
+	k.f.tell(why)
+}
+
+// OnData reads an answer. It is whole before anything is made of it.
+func (k *nodeConn) OnData(_ *netloop.Conn, b []byte) int {
+	if k.task == nil { // nobody has asked
+		k.lose(exchange.Lost{Conn: k.id})
+		return 0
+	}
+	n, err := k.f.answer.Read(b)
+	if err != nil {
+		k.lose(exchange.Lost{Conn: k.id})
+		return 0
+	}
+	if n == 0 {
+		return 0
+	}
+	value, word, ok := objcmd.Word(&k.f.answer)
+	if !ok {
+		k.lose(exchange.Lost{Conn: k.id})
+		return 0
+	}
+	reuse := n == len(b) && k.written && !k.c.Left()
+	if word.Status == choice.Errored {
+		reuse = false // it may be noise in the form of an error
+	}
+	k.task, k.value = nil, value
+	k.f.tell(exchange.Answered{Conn: k.id, Word: word, Reuse: reuse})
+	k.value = nil
+	return n
+}
+
+// OnDrained notes that the request's last byte has left.
+func (k *nodeConn) OnDrained(*netloop.Conn) { k.written = true }
+
+// OnClose tells the exchange, unless it asked for it.
+func (k *nodeConn) OnClose(_ *netloop.Conn, _ error) {
+	if k.f.nodes[k.id] != k {
+		return
+	}
+	delete(k.f.nodes, k.id)
+	if !k.opened {
+		if i := slices.Index(k.f.dials, k); i >= 0 {
+			k.f.dials = slices.Delete(k.f.dials, i, i+1)
+		}
+		k.f.tell(exchange.Dialed{Conn: k.id})
+		return
+	}
+	k.f.tell(exchange.Lost{Conn: k.id, Unsent: k.task != nil && !k.written})
+}
