An overtaken attempt counts as lost only beyond what its work explains

So delay() lost a true sign: a long request that is overtaken by short ones is at work. Change: overtaken() asks for an age beyond the delay and four times the uncrowded time; delay and giveUp share it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -285,19 +285,24 @@
 
 // delay is what an attempt at n is expected to take beyond its own work. The age of the
 // oldest one out counts too: silence, of whatever cause, shows there before any outcome.
-// Not that of one that was overtaken, as n has answered a later one without delay: such an
-// answer is lost, or its work long, and neither holds up others. It may do harm at a node
-// of which only a part works on.
+// Not that of one whose answer is lost: that holds up no other.
 func (d *Dispatcher) delay(n *node) time.Duration {
 	e := seconds(n.lat * math.Exp2(-float64(d.now-n.latAt)/(delayHalf*float64(d.tightest))))
 	n.outs = slices.DeleteFunc(n.outs, func(r *request) bool { return !r.out || r.node != n })
-	if i := slices.IndexFunc(n.outs, func(r *request) bool { return r.sentAt >= n.heardAt }); i >= 0 &&
-		(d.lost < lossy || n.bad > 1) {
+	i := slices.IndexFunc(n.outs, func(r *request) bool { return !d.overtaken(r, n, e) })
+	if i >= 0 && (d.lost < lossy || n.bad > 1) {
 		e = max(e, d.now-n.outs[i].sentAt-n.service(n.outs[i].Units))
 	}
 	return e
 }
 
+// overtaken tells whether r's answer counts as lost: n has answered a later attempt without
+// delay, and r is out for longer than its work can explain. It may do harm at a node of
+// which only a part works on, or which takes work out of order.
+func (d *Dispatcher) overtaken(r *request, n *node, delay time.Duration) bool {
+	return r.sentAt < n.heardAt && d.now-r.sentAt > delay+n.service(patient*r.Units)
+}
+
 // service is what so many units take at n when it is not crowded.
 func (n *node) service(units float64) time.Duration { return seconds(n.base * units) }
 
@@ -439,18 +444,14 @@
 	}
 }
 
-// giveUp ends the first attempt at n that was overtaken and should long have been answered,
-// where another may be made within the aim: its answer, or its connection, is lost. It
-// may do harm where a node takes work out of order; the budget bounds that.
+// giveUp ends the first attempt at n whose answer counts as lost, where another may be made
+// within the aim. The budget bounds what it costs where the answer was to come after all.
 func (d *Dispatcher) giveUp(n *node) {
 	usual := d.delay(n)
 	for _, r := range n.outs {
-		if r.sentAt >= n.heardAt || !d.cfg.Cancel {
-			return
-		}
-		late := r.state == sent && !r.astray && d.now-r.sentAt > usual+n.service(patient*r.Units)
 		safe := r.class.Effect == Safe || r.class.Effect == Keyed && d.now-r.sentAt < r.class.Window
-		if late && safe && d.now+usual+n.service(r.Units) < r.aimAt && d.mayRepeat(r, n) {
+		if safe && d.cfg.Cancel && r.state == sent && !r.astray && d.overtaken(r, n, usual) &&
+			d.now+usual+n.service(r.Units) < r.aimAt && d.mayRepeat(r, n) {
 			r.astray = true
 			d.act(Cancel{ID: r.ID, Attempt: r.attempts - 1})
 			return
