--- a/relayfront/client.go
+++ b/relayfront/client.go
@@ -40,13 +40,15 @@
 	maxPending = 128 << 10               // bytes that wait to be written, then nothing more is read
 	mostBad    = 16                      // commands answered with an error, then it is closed
 	silentFor  = 2500 * time.Millisecond // without a whole command
-	idleFor    = 10 * time.Second        // without an open request
-	youngest   = 2 * time.Second         // idle for so long, it may be closed for another
+	idleFor    = 2 * time.Second         // without an open request
+	youngest   = 50 * time.Millisecond   // idle for so long, it may be closed for another
 	lingerFor  = 300 * time.Millisecond  // after the last answer, for what is still on its way
 )
 
 func (f *Front) accept(fd int, _ unix.Sockaddr) {
-	if len(f.clients) >= f.cfg.clientConns() && !f.makeRoom() {
+	for len(f.clients) >= f.cfg.roomyClients() && f.makeRoom(youngest) {
+	}
+	if len(f.clients) >= f.cfg.clientConns() && !f.makeRoom(0) {
 		unix.Close(fd)
 		return
 	}
@@ -62,12 +64,14 @@
 }
 
 // makeRoom closes the connection that has been without use for the longest: first those that
-// have never said anything, then those on which no request is open.
-func (f *Front) makeRoom() bool {
+// have never said anything, then those on which no request is open and nothing has come. It
+// costs a client that asks again a new connection, so those used just now are left where
+// there are descriptors.
+func (f *Front) makeRoom(youngest time.Duration) bool {
 	var worst *client
 	now := f.now()
 	for _, cl := range f.clients {
-		if len(cl.queue) > 0 || cl.spoke && now-cl.last < youngest || !cl.spoke && cl.part > 0 {
+		if len(cl.queue) > 0 || cl.spoke && (now-cl.last < youngest || !cl.c.Quiet()) || !cl.spoke && cl.part > 0 {
 			continue
 		}
 		if worst == nil || worst.spoke && !cl.spoke || worst.spoke == cl.spoke && cl.last < worst.last {
--- a/relayfront/config.go
+++ b/relayfront/config.go
@@ -128,6 +128,11 @@
 func (c *Config) nodeConns() int   { return int(float64(c.Sockets-ownSockets) * nodesPart) }
 func (c *Config) clientConns() int { return c.Sockets - ownSockets - c.nodeConns() }
 
+// roomyClients is from how many connections of clients on those that are idle make room: the
+// platform's clients hold no more than a third of the descriptors for requests, and who asks
+// once and stays would else keep the others from asking.
+func (c *Config) roomyClients() int { return c.Sockets / 4 }
+
 // callsPerMB bounds the requests that are open, by memory.
 const callsPerMB = 32
 
--- a/relayfront/front.go
+++ b/relayfront/front.go
@@ -200,7 +200,7 @@
 // ---- Time.
 
 // sweepEvery is how often connections are looked at.
-const sweepEvery = 50 * time.Millisecond
+const sweepEvery = 20 * time.Millisecond
 
 // nextAlarm is by the loop's clock.
 func (f *Front) nextAlarm() (time.Duration, bool) {
