What bad clients still send after their error is left unread

Reading on for 300 ms what is thrown away costs the core; left with the kernel it costs nothing, and the error stays on its way as long.

--- a/relayfront/client.go
+++ b/relayfront/client.go
@@ -115,7 +115,7 @@
 func (cl *client) refuseAll(text string) {
 	cl.say(resp.Failure, text)
 	cl.dead = true
-	cl.c.Assign(cl.f.flows.bad)
+	cl.c.Pause()
 	cl.endIfDone()
 }
 
@@ -231,7 +231,9 @@
 }
 
 // endIfDone ends our side of a dead connection once all is answered. What the client still
-// sends is read and thrown away for a while: a reset would destroy the error on its way.
+// sends stays unread with the kernel, which holds it back: read at full speed, it would take
+// the core from others. The connection stays for a while, as its reset would destroy the
+// error on its way.
 func (cl *client) endIfDone() {
 	if cl.dead && len(cl.queue) == 0 && !cl.ended {
 		cl.ended, cl.endAt = true, cl.f.now()
@@ -241,7 +243,7 @@
 
 // OnDrained reads on.
 func (cl *client) OnDrained(c *netloop.Conn) {
-	if c.Paused() {
+	if c.Paused() && !cl.dead {
 		c.Resume()
 	}
 }
