--- a/cmd/chalkstand/main.go
+++ b/cmd/chalkstand/main.go
@@ -30,7 +30,7 @@
 runs a gateway on 127.0.0.1:9000 with stand-in nodes inside the process.`,
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	c.AddCommand(serveCommand(), nodeCommand(), checkCommand(), accountsCommand(), topCommand(), runCommand(), baddayCommand(), drillCommand(), exploreCommand(), replayCommand(), benchCommand(), versionCommand())
+	c.AddCommand(serveCommand(), nodeCommand(), checkCommand(), accountsCommand(), topCommand(), runCommand(), standinsCommand(), baddayCommand(), drillCommand(), exploreCommand(), replayCommand(), benchCommand(), versionCommand())
 	return c
 }
 
--- /dev/null
+++ b/internal/objcmd/objcmd_test.go
@@ -0,0 +1,68 @@
+package objcmd
+
+import (
+	"testing"
+	"time"
+
+	"chalkstand/choice"
+	"chalkstand/internal/resp"
+)
+
+func terms() *Terms {
+	return &Terms{Classes: map[string]int{"read": 0, "write": 1}, Plans: map[string]int{"gold": 0}, Writes: []bool{false, true}, Shards: 4, Largest: 8}
+}
+
+// What passes on is what came, but for how long the answer is waited for.
+func TestPassedOnUnchanged(t *testing.T) {
+	for _, c := range [][2]string{
+		{"c=write,t=gold,d=480,k=5c,volume=00000003b4d60021,units=2,shard=-1,hosts=3,new=x", "c=write,t=gold,d=21,k=5c,volume=00000003b4d60021,units=2,shard=-1,hosts=3,new=x"},
+		{"d=1.5,c=write,t=gold,volume=00000003b4d60021,units=2,shard=3,hosts=3", "d=21,c=write,t=gold,volume=00000003b4d60021,units=2,shard=3,hosts=3"},
+		{"c=write,t=gold,volume=00000003b4d60021,units=2,shard=3,hosts=3,d=99999", "c=write,t=gold,volume=00000003b4d60021,units=2,shard=3,hosts=3,d=21"},
+	} {
+		cmd, err := terms().Parse([][]byte{[]byte("obj.put"), []byte("7f3a9c21e0b4d655"), []byte("id"), []byte(c[0]), []byte("body")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		words, n, err := resp.Command(cmd.AppendTo(nil, 20*time.Millisecond+1), nil)
+		if err != nil || n == 0 || len(words) != 5 || string(words[0]) != Put || string(words[3]) != c[1] || string(words[4]) != "body" {
+			t.Errorf("%q, %v; want %q", words, err, c[1])
+		}
+	}
+}
+
+// The ends of attempts, as the protocol's page has them; the figure on use is one more inside.
+func TestWords(t *testing.T) {
+	for _, c := range []struct {
+		text   string
+		ok     bool
+		status choice.Status
+		use    float64
+		cost   float64
+		hand   float64
+	}{
+		{"*3\r\n$1\r\nv\r\n$14\r\nused=37,cost=4\r\n$12\r\nrif=7,lat_ms\r\n", true, choice.Served, 38, 4, 0},
+		{"*3\r\n$1\r\nv\r\n$6\r\nused=0\r\n$14\r\nrif=7,lat_ms=3\r\n", true, choice.Served, 1, 0, 7},
+		{"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", true, choice.Served, 0, 0, 0},
+		{"*3\r\n$1\r\nv\r\n$13\r\nused=-1,cost=\r\n$-1\r\n", true, choice.Served, 0, 0, 0},
+		{"-ERR failed used=9,cost=2 inflight=5,queue=0\r\n", true, choice.Errored, 10, 2, 5},
+		{"-ERR failed inflight=5,queue=0\r\n", true, choice.Errored, 0, 0, 5},
+		{"-BUSY\r\n", true, choice.Full, 0, 0, 0},
+		{"-SYNTAX\r\n", true, choice.Errored, 0, 0, 0},
+		{"*3\r\n$-1\r\n$-1\r\n$-1\r\n", false, 0, 0, 0, 0},
+		{"*2\r\n$1\r\nv\r\n$-1\r\n", false, 0, 0, 0, 0},
+		{"$1\r\nv\r\n", false, 0, 0, 0, 0},
+		{"+OK\r\n", false, 0, 0, 0, 0},
+	} {
+		var a resp.Answer
+		if n, err := a.Read([]byte(c.text)); n != len(c.text) || err != nil {
+			t.Fatalf("%q: %v", c.text, err)
+		}
+		value, w, ok := Word(&a)
+		if ok != c.ok || ok && (w.Status != c.status || w.Use != c.use || w.Elsewhere != c.cost || w.Report["inflight"] != c.hand) {
+			t.Errorf("%q: %+v, %v", c.text, w, ok)
+		}
+		if ok && c.status == choice.Served && string(value) != "v" {
+			t.Errorf("%q: value %q", c.text, value)
+		}
+	}
+}
