The fault of an attempt that keeps its connection stands where the exchange gives attempts up

exchange.giveUp took over what expireCall did; the list of faults named the lines by their old indentation.

--- a/lab/mutants/list.go
+++ b/lab/mutants/list.go
@@ -29,7 +29,7 @@
 		{Name: "no bound on connections", File: exchangeFile, From: "	if n.conns >= x.cfg.ConnsPerNode {", To: "	if false {"},
 		{Name: "an unused connection gives way and is not closed", File: exchangeFile, From: "		x.close(n.idle[0])", To: "		x.unlist(n.idle[0])"},
 		{Name: "a connection that comes late is left with its call", File: exchangeFile, From: "		x.end(c, choice.ConnectFailed, Word{})\n		c.conn, k.call = nil, nil", To: "		x.end(c, choice.ConnectFailed, Word{})\n		c.conn = nil\n		_ = k"},
-		{Name: "an attempt that ran out of time keeps its connection", File: exchangeFile, From: "		if c.conn == k {\n			x.detach(c)\n		}", To: "		_ = k"},
+		{Name: "an attempt that ran out of time keeps its connection", File: exchangeFile, From: "	if c.conn == k {\n		x.detach(c)\n	}", To: "	_ = k"},
 		{Name: "a broken connection is not told", File: exchangeFile, From: "		x.end(c, choice.Dropped, Word{})", To: "		_ = c"},
 		{Name: "an answer that breaks off is not cut", File: exchangeFile, From: "		x.conclude(c, Cut{ID: c.req.ID, Lane: c.lane})", To: "		x.conclude(c, nil)"},
 		{Name: "a connection that failed is not forgotten", File: exchangeFile, From: "	if !e.OK {\n		k.call = nil\n		x.unlist(k)", To: "	if !e.OK {\n		k.call = nil"},
