The front read once more: one test of an unused connection, one reader of words and numbers

Seen on reading the change again: three places each had their own test of whether a client's connection may be closed, and makeRoom's left out an answer that has not all left, which a slow reader would have lost. Two comparisons of command names, two readers of bulk strings, three of finite numbers; a search of all open requests for those of one client, in the order of a map; a flow and a channel that nothing used, a branch that a paused connection never reaches, a removal from the list of dials that ring does anyway. Change: client.unused for all three; objcmd.Named, resp.item and wire.Finite for all; an entry knows its request. Dead code goes. Measured: tests of these packages pass. Decisions are as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -788,9 +788,9 @@
 		return
 	}
 	n := r.node
+	r.out = false
 	n.out--
 	d.touch(n)
-	r.out = false
 	d.judge(n, r, e)
 	r.astray = false
 	if e.Use > 0 {
--- a/internal/objcmd/objcmd.go
+++ b/internal/objcmd/objcmd.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -64,15 +63,16 @@
 }
 
 // Is tells whether a word names one of the object commands.
-func Is(word []byte) bool { return is(word, Get) || is(word, Put) }
+func Is(word []byte) bool { return Named(word, Get) || Named(word, Put) }
 
-func is(word []byte, name string) bool {
+// Named tells whether a word is a command's name, in whatever case.
+func Named(word []byte, name string) bool {
 	return len(word) == len(name) && strings.EqualFold(string(word), name)
 }
 
 // Parse reads a command's words. The error tells what was expected.
 func (t *Terms) Parse(words [][]byte) (Command, error) {
-	c := Command{Put: is(words[0], Put)}
+	c := Command{Put: Named(words[0], Put)}
 	want := 4
 	if c.Put {
 		want = 5
@@ -142,7 +142,7 @@
 		r.Plan, ok = t.Plans[v]
 		return 2, want(ok, name, "a plan of the settings", v)
 	case "d":
-		ms, ok := number(v)
+		ms, ok := wire.Finite(v)
 		ok = ok && ms > 0 && ms <= float64(longest/time.Millisecond)
 		if ok {
 			r.Left = time.Duration(ms * float64(time.Millisecond))
@@ -152,7 +152,7 @@
 		r.Volume = choice.VolumeID(v)
 		return 8, want(hex16([]byte(v)), name, "16 hex digits", v)
 	case "units":
-		r.Units, ok = number(v)
+		r.Units, ok = wire.Finite(v)
 		ok = ok && r.Units > 0 && (t.Largest <= 0 || r.Units <= t.Largest)
 		return 16, want(ok, name, fmt.Sprintf("above 0, %g at most", t.Largest), v)
 	case "shard":
@@ -174,11 +174,6 @@
 	return fmt.Errorf("%s: expected %s, got %q", name, expected, got[:min(len(got), 40)])
 }
 
-func number(v string) (float64, bool) {
-	x, err := strconv.ParseFloat(v, 64)
-	return x, err == nil && !math.IsNaN(x) && !math.IsInf(x, 0)
-}
-
 func hex16(b []byte) bool {
 	for _, c := range b {
 		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F') {
@@ -273,7 +268,7 @@
 func figures(w *exchange.Word, s string) {
 	for pair := range strings.SplitSeq(s, ",") {
 		name, v, _ := strings.Cut(pair, "=")
-		x, ok := number(v)
+		x, ok := wire.Finite(v)
 		if !ok || x < 0 || x > 1e9 {
 			continue
 		}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -48,18 +48,11 @@
 	}
 	words = into
 	for range count {
-		size, m, err := number(b[n:], '$', "a bulk string")
-		switch {
-		case err != nil || m == 0:
-			return nil, 0, err
-		case size < 0:
-			return nil, 0, bad("a length of 0 or more", "%d", size)
-		}
-		w, m, err := bulk(b, n+m, size)
+		it, m, err := item(b, n, 0)
 		if err != nil || m == 0 {
 			return nil, 0, err
 		}
-		words, n = append(words, w), m
+		words, n = append(words, it.Text), m
 	}
 	return words, n, nil
 }
@@ -152,7 +145,7 @@
 		a.Text, n, err = line(b)
 		return n, err
 	case Bulk:
-		it, n, err := item(b, 0)
+		it, n, err := item(b, 0, -1)
 		a.Text, a.Null = it.Text, it.Null
 		return n, err
 	case Array:
@@ -182,16 +175,17 @@
 	return nil, 0, nil
 }
 
-// item reads a bulk string at a place, and returns where it ends.
-func item(b []byte, at int) (Item, int, error) {
+// item reads a bulk string at a place, and returns where it ends. Its length is least or
+// more; -1 is that of a null one.
+func item(b []byte, at, least int) (Item, int, error) {
 	size, m, err := number(b[at:], '$', "a bulk string")
 	switch {
 	case err != nil || m == 0:
 		return Item{}, 0, err
-	case size == -1:
-		return Item{Null: true}, at + m, nil
+	case size < least:
+		return Item{}, 0, bad(fmt.Sprintf("a length of %d or more", least), "%d", size)
 	case size < 0:
-		return Item{}, 0, bad("a length of -1 or more", "%d", size)
+		return Item{Null: true}, at + m, nil
 	}
 	text, n, err := bulk(b, at+m, size)
 	return Item{Text: text}, n, err
@@ -209,7 +203,7 @@
 		return 0, bad(fmt.Sprintf("0 to %d items", MaxItems), "%d", count)
 	}
 	for range count {
-		it, m, err := item(b, n)
+		it, m, err := item(b, n, -1)
 		if err != nil || m == 0 {
 			return 0, err
 		}
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -76,13 +76,19 @@
 	if !ok || s == "-" || s == "" {
 		return 0
 	}
-	x, err := strconv.ParseFloat(s, 64)
-	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+	x, ok := Finite(s)
+	if !ok {
 		p.bad(k, "a number")
 	}
 	return x
 }
 
+// Finite reads a number that is neither infinite nor none.
+func Finite(s string) (float64, bool) {
+	x, err := strconv.ParseFloat(s, 64)
+	return x, err == nil && !math.IsNaN(x) && !math.IsInf(x, 0)
+}
+
 func (p *settings) integer(k string) int { return int(p.number(k)) }
 
 // count bounds a list's length, so that a wrong one cannot exhaust memory.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -328,8 +328,8 @@
 	if f.err != nil || s == "-" {
 		return 0
 	}
-	x, err := strconv.ParseFloat(s, 64)
-	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+	x, ok := Finite(s)
+	if !ok {
 		f.bad(name, "a number", s)
 	}
 	return x
--- a/relayfront/client.go
+++ b/relayfront/client.go
@@ -23,13 +23,14 @@
 	spoke bool          // a whole command has come
 	part  time.Duration // since when a command has begun and not ended; 0: none
 	bad   int           // commands that were answered with an error
-	dead  bool          // what comes is thrown away; it ends when all is answered
+	dead  bool          // nothing more is read; it ends when all is answered
 	ended bool          // our side, at
 	endAt time.Duration
 }
 
 // entry is the place of an answer.
 type entry struct {
+	task  *task // that is to bring it; nil: it was there at once
 	done  bool
 	reply []byte
 }
@@ -71,10 +72,8 @@
 	var worst *client
 	now := f.now()
 	for _, cl := range f.clients {
-		if len(cl.queue) > 0 || cl.spoke && (now-cl.last < youngest || !cl.c.Quiet()) || !cl.spoke && cl.part > 0 {
-			continue
-		}
-		if worst == nil || worst.spoke && !cl.spoke || worst.spoke == cl.spoke && cl.last < worst.last {
+		before := worst == nil || worst.spoke && !cl.spoke || worst.spoke == cl.spoke && cl.last < worst.last
+		if before && !(cl.spoke && now-cl.last < youngest) && cl.unused() {
 			worst = cl
 		}
 	}
@@ -85,11 +84,14 @@
 	return true
 }
 
+// unused tells whether the connection can be closed without harm: nothing is open on it,
+// all that was answered has left, and nothing has come. It asks the kernel last.
+func (cl *client) unused() bool {
+	return len(cl.queue) == 0 && cl.c.Pending() == 0 && cl.c.Quiet()
+}
+
 // OnData takes commands.
 func (cl *client) OnData(c *netloop.Conn, b []byte) int {
-	if cl.dead {
-		return len(b)
-	}
 	words, n, err := resp.Command(b, cl.f.words[:0])
 	if err != nil {
 		cl.refuseAll("ERR Protocol error: " + err.Error())
@@ -120,31 +122,18 @@
 }
 
 func (cl *client) command(words [][]byte) {
-	switch name := string(words[0]); {
-	case objcmd.Is(words[0]):
+	switch name := words[0]; {
+	case objcmd.Is(name):
 		cl.object(words)
-	case equal(name, "PING"):
+	case objcmd.Named(name, "PING"):
 		cl.say(resp.Simple, "PONG")
-	case equal(name, "CLIENT"), equal(name, "SELECT"):
+	case objcmd.Named(name, "CLIENT"), objcmd.Named(name, "SELECT"):
 		cl.say(resp.Simple, "OK")
 	default:
 		cl.wrong("ERR unknown command: expected OBJ.GET, OBJ.PUT or PING")
 	}
 }
 
-// equal compares a word with a name in capitals.
-func equal(word, name string) bool {
-	if len(word) != len(name) {
-		return false
-	}
-	for i := range len(name) {
-		if word[i]&^0x20 != name[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // wrong answers a command that is readable and can't be done. Who sends many has its
 // connection closed.
 func (cl *client) wrong(text string) {
@@ -173,7 +162,8 @@
 		return
 	}
 	f.lastID++
-	t := &task{id: f.lastID, cl: cl, entry: &entry{}, cmd: cmd}
+	t := &task{id: f.lastID, cl: cl, cmd: cmd}
+	t.entry = &entry{task: t}
 	t.buf = make([]byte, 0, size)
 	keep := func(b []byte) []byte {
 		from := len(t.buf)
@@ -256,32 +246,27 @@
 		f.clients[len(f.clients)-1] = nil
 		f.clients = f.clients[:len(f.clients)-1]
 	}
-	for _, e := range cl.queue {
+	left := cl.queue
+	cl.queue = nil
+	for _, e := range left {
 		if e.done {
 			f.held -= len(e.reply)
-		}
-	}
-	if len(cl.queue) == 0 {
-		return
-	}
-	cl.queue = nil
-	for _, t := range f.tasks {
-		if t.cl == cl {
-			f.forget(t)
-			f.tell(exchange.Gone{ID: t.id})
+		} else {
+			f.forget(e.task)
+			f.tell(exchange.Gone{ID: e.task.id})
 		}
 	}
 }
 
 // sweep closes connections whose time has come.
 func (f *Front) sweep(now time.Duration) {
-	for _, cl := range append(make([]*client, 0, len(f.clients)), f.clients...) {
+	for _, cl := range slices.Clone(f.clients) {
 		switch {
 		case cl.ended && now-cl.endAt > lingerFor, // all is said
 			cl.dead && now-cl.born > silentFor && now-cl.last > lingerFor,
 			!cl.spoke && now-cl.born > silentFor, // owed a close
 			cl.part > 0 && now-cl.part > silentFor && len(cl.queue) == 0,
-			cl.spoke && len(cl.queue) == 0 && now-cl.last > idleFor && cl.c.Pending() == 0 && cl.c.Quiet():
+			cl.spoke && now-cl.last > idleFor && cl.unused():
 			cl.c.Close()
 		}
 	}
--- a/relayfront/front.go
+++ b/relayfront/front.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -52,7 +53,7 @@
 	answer  resp.Answer
 	scratch []byte
 
-	flows   struct{ fresh, clients, nodes, bad *netloop.Flow }
+	flows   struct{ fresh, clients, nodes *netloop.Flow }
 	sweepAt time.Duration
 
 	discovery netip.AddrPort
@@ -63,7 +64,6 @@
 	stopping  bool
 	stopAt    time.Duration // since
 	unlistens bool
-	done      chan struct{}
 }
 
 // task is an open request.
@@ -86,7 +86,7 @@
 	}
 	f := &Front{cfg: cfg, log: log, terms: objcmd.NewTerms(cfg.Settings), x: x, start: time.Now(), wake: math.MaxInt64,
 		nodes: map[exchange.ConnID]*nodeConn{}, tasks: map[choice.RequestID]*task{}, ids: map[string]*task{},
-		most: int(cfg.MemoryMB * heldPart * (1 << 20)), discovery: cfg.Discovery, version: cfg.Known.Version, done: make(chan struct{})}
+		most: int(cfg.MemoryMB * heldPart * (1 << 20)), discovery: cfg.Discovery, version: cfg.Known.Version}
 	f.epoch = time.Duration(f.start.UnixNano())
 	o := netloop.Defaults
 	o.Now = func() time.Duration { return time.Since(f.start) }
@@ -96,7 +96,6 @@
 	f.flows.fresh = f.loop.Flow("new", share.Terms{Weight: 2}, nil)
 	f.flows.clients = f.loop.Flow("clients", share.Terms{Weight: 4}, nil)
 	f.flows.nodes = f.loop.Flow("nodes", share.Terms{Weight: 16}, nil)
-	f.flows.bad = f.loop.Flow("bad", share.Terms{Weight: 0.5}, nil)
 	ln, err := net.Listen("tcp", cfg.Listen.String())
 	if err != nil {
 		return nil, err
@@ -342,8 +341,8 @@
 		f.loop.Unlisten()
 		return // what was accepted at the last moment is read first
 	}
-	for _, cl := range append([]*client(nil), f.clients...) {
-		if len(cl.queue) == 0 && cl.c.Pending() == 0 && cl.c.Quiet() {
+	for _, cl := range slices.Clone(f.clients) {
+		if cl.unused() {
 			cl.c.Close()
 		}
 	}
--- a/relayfront/node.go
+++ b/relayfront/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"chalkstand/choice"
@@ -105,9 +104,6 @@
 	}
 	delete(k.f.nodes, k.id)
 	if !k.opened {
-		if i := slices.Index(k.f.dials, k); i >= 0 {
-			k.f.dials = slices.Delete(k.f.dials, i, i+1)
-		}
 		k.f.tell(exchange.Dialed{Conn: k.id})
 		return
 	}
