A write that fails ends what is read behind it, and no answer leaves its place undone

Cause: netloop.Conn.offer went on showing commands after a write had failed (closing), and client.answered left an entry without a task in the queue when the connection was not open any more, which OnClose then took for an open request. A task answered there was ended twice (bytes kept below nought). Lines: netloop/conn.go offer, relayfront/client.go answered.

--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// FD is the socket's descriptor; -1 once closed.
+func (c *Conn) FD() int { return c.fd }
+
 // Waits tells whether the connection has something to move and waits for its turn.
 func (c *Conn) Waits() bool { return c.queued }
 
@@ -320,7 +323,7 @@
 		b = c.in
 	}
 	used := 0
-	for used < len(b) && c.fd >= 0 && !c.paused {
+	for used < len(b) && c.fd >= 0 && !c.paused && !c.closing { // closing: a write has failed
 		n := c.Handler.OnData(c, b[used:])
 		if n == 0 {
 			break
--- a/relayfront/client.go
+++ b/relayfront/client.go
@@ -197,12 +197,12 @@
 
 // answered puts an answer in its place; what is at the head leaves.
 func (cl *client) answered(e *entry, b []byte) {
-	if len(cl.queue) == 0 || !cl.c.Open() {
-		return // it has left
+	if e.done = true; len(cl.queue) == 0 || !cl.c.Open() {
+		return // it has left, or a write has failed: OnClose takes what is in the queue
 	}
 	cl.last = cl.f.now()
 	if cl.queue[0] != e {
-		e.done, e.reply = true, append([]byte(nil), b...)
+		e.reply = append([]byte(nil), b...)
 		cl.f.held += len(b)
 		return
 	}
