A planned end closes busy connections, answers in time for SIGKILL, and half-closes

Cause: Front.ends closed only connections on which nothing was open and nothing had come, so a client that always has a request open was served up to SIGKILL. Ruled out: requests that came in the first 0.7 s (all are later), the accept queue (these were standing connections).

Now: 0.5 s after it was told, a dispatcher accepts what waits, reads nothing more, and half-closes each connection after its last answer; what comes then is read and thrown away, as a close over unread bytes resets the connection. What is open 0.2 s before the platform may kill (longest deadline, at most 3 s, and 0.7 s) is answered as failed. No watch is opened in an end.

--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -39,6 +39,13 @@
 	OnClose(c *Conn, err error)
 }
 
+// Leaver is a handler that hears at once that the peer has ended its side, also while the
+// connection is paused or has not had its turn: what the peer sent before may not have been read.
+type Leaver interface {
+	Handler
+	OnLeft(c *Conn)
+}
+
 // Awaiter is a handler that uses Conn.Readable.
 type Awaiter interface {
 	Handler
@@ -210,7 +217,7 @@
 func (l *Loop) event(ev unix.EpollEvent) {
 	fd := int(ev.Fd)
 	if fd == l.wakeFD {
-		l.woken()
+		l.Soon(l.woken) // it may close a descriptor and open another of the same number, of which an event is yet to be noted
 		return
 	}
 	c := l.conns[fd]
@@ -222,8 +229,15 @@
 	if ev.Events&(unix.EPOLLOUT|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
 		c.writable = true
 	}
-	if ev.Events&(unix.EPOLLRDHUP|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
+	if ev.Events&(unix.EPOLLRDHUP|unix.EPOLLERR|unix.EPOLLHUP) != 0 && !c.ended {
 		c.ended = true
+		if h, ok := c.Handler.(Leaver); ok && !c.opening {
+			l.Soon(func() {
+				if c.fd >= 0 {
+					h.OnLeft(c)
+				}
+			})
+		}
 	}
 	if ev.Events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
 		c.readable = true
@@ -404,9 +418,13 @@
 	}
 }
 
-// Unlisten stops accepting on all listening sockets. On the loop only.
+// Unlisten stops accepting on all listening sockets, after it has accepted what waits there: the
+// close would reset it. On the loop only.
 func (l *Loop) Unlisten() {
 	for fd, c := range l.listen {
+		for c.readable = true; c.readable; {
+			c.acceptSome()
+		}
 		unix.Close(fd)
 		c.fd = -1
 		delete(l.listen, fd)
--- a/relayfront/client.go
+++ b/relayfront/client.go
@@ -20,10 +20,12 @@
 	queue []*entry // commands that are not answered yet, the oldest first
 	born  time.Duration
 	last  time.Duration // something was asked or answered
+	heard time.Duration // the last bytes came
 	spoke bool          // a whole command has come
 	part  time.Duration // since when a command has begun and not ended; 0: none
 	bad   int           // commands that were answered with an error
-	dead  bool          // nothing more is read; it ends when all is answered
+	final bool          // at a planned end: nothing more is read, and our side ends once all is answered
+	dead  bool          // no command is begun any more: what still comes is thrown away
 	ended bool          // our side, at
 	endAt time.Duration
 }
@@ -40,10 +42,12 @@
 	maxOpen    = 64                      // commands that are not answered yet
 	maxPending = 128 << 10               // bytes that wait to be written, then nothing more is read
 	mostBad    = 16                      // commands answered with an error, then it is closed
-	silentFor  = 2500 * time.Millisecond // without a whole command
+	silentFor  = 2500 * time.Millisecond // without a byte, where no whole command has come or one has begun
+	partFor    = 10 * time.Second        // from a command's first byte to its last: some clients write slowly
+	stuckFor   = 10 * time.Second        // an answer that its client does not read
 	idleFor    = 2 * time.Second         // without an open request
 	youngest   = 50 * time.Millisecond   // idle for so long, it may be closed for another
-	lingerFor  = 300 * time.Millisecond  // after the last answer, for what is still on its way
+	lingerFor  = 500 * time.Millisecond  // after the last answer, for what is still on its way
 )
 
 func (f *Front) accept(fd int, _ unix.Sockaddr) {
@@ -54,7 +58,7 @@
 		return
 	}
 	cl := &client{f: f, born: f.now()}
-	cl.last = cl.born
+	cl.last, cl.heard = cl.born, cl.born
 	c, err := f.loop.Add(fd, cl)
 	if err != nil {
 		return // the loop has closed it
@@ -90,8 +94,14 @@
 	return len(cl.queue) == 0 && cl.c.Pending() == 0 && cl.c.Quiet()
 }
 
-// OnData takes commands.
+// OnData takes commands. Those of a client that has left are not begun; what comes on a dead
+// connection is thrown away, a read each sweep: at full speed it would take the core from others.
 func (cl *client) OnData(c *netloop.Conn, b []byte) int {
+	cl.heard = cl.f.now()
+	if cl.dead || c.Left() {
+		c.Pause()
+		return len(b)
+	}
 	words, n, err := resp.Command(b, cl.f.words[:0])
 	if err != nil {
 		cl.refuseAll("ERR Protocol error: " + err.Error())
@@ -99,12 +109,12 @@
 	}
 	if n == 0 {
 		if cl.part == 0 {
-			cl.part = cl.f.now()
+			cl.part = cl.heard
 		}
 		return 0
 	}
 	cl.f.words = words[:0]
-	cl.spoke, cl.part, cl.last = true, 0, cl.f.now()
+	cl.spoke, cl.part, cl.last = true, 0, cl.heard
 	cl.command(words)
 	if c.Pending() > maxPending {
 		c.Pause()
@@ -121,6 +131,14 @@
 	cl.endIfDone()
 }
 
+// finish lets the connection end once all that was read is answered. What comes from here on is not
+// begun: its client sends it once more on another connection.
+func (cl *client) finish() {
+	cl.final = true
+	cl.c.Pause()
+	cl.endIfDone()
+}
+
 func (cl *client) command(words [][]byte) {
 	switch name := words[0]; {
 	case objcmd.Is(name):
@@ -220,24 +238,35 @@
 	cl.endIfDone()
 }
 
-// endIfDone ends our side of a dead connection once all is answered. What the client still
-// sends stays unread with the kernel, which holds it back: read at full speed, it would take
-// the core from others. The connection stays for a while, as its reset would destroy the
-// error on its way.
+// endIfDone ends our side of a connection on which no further command is begun, once all is
+// answered. The other side stays for a while, and what comes is thrown away: a close over unread
+// bytes resets the connection and destroys what is on its way.
 func (cl *client) endIfDone() {
-	if cl.dead && len(cl.queue) == 0 && !cl.ended {
-		cl.ended, cl.endAt = true, cl.f.now()
+	if (cl.dead || cl.final) && len(cl.queue) == 0 && !cl.ended {
+		cl.dead, cl.ended, cl.endAt = true, true, cl.f.now()
 		cl.c.EndWrite()
 	}
 }
 
 // OnDrained reads on.
 func (cl *client) OnDrained(c *netloop.Conn) {
-	if c.Paused() && !cl.dead {
+	cl.last = cl.f.now()
+	if cl.ended {
+		cl.endAt = cl.last
+	}
+	if c.Paused() && !cl.dead && !cl.final {
 		c.Resume()
 	}
 }
 
+// OnLeft closes the connection of a client that has ended its side: it has gone, and what it had
+// open is not sent on. On a dead connection the error may still be on its way.
+func (cl *client) OnLeft(c *netloop.Conn) {
+	if !cl.dead {
+		c.Close()
+	}
+}
+
 // OnClose tells that the client has left with what it had open.
 func (cl *client) OnClose(*netloop.Conn, error) {
 	f := cl.f
@@ -261,16 +290,29 @@
 // sweep closes connections whose time has come.
 func (f *Front) sweep(now time.Duration) {
 	for _, cl := range slices.Clone(f.clients) {
-		switch {
-		case cl.ended && now-cl.endAt > lingerFor, // all is said
-			cl.dead && now-cl.born > silentFor && now-cl.last > lingerFor,
-			!cl.spoke && now-cl.born > silentFor, // owed a close
-			cl.part > 0 && now-cl.part > silentFor && len(cl.queue) == 0,
-			cl.spoke && now-cl.last > idleFor && cl.unused():
+		if cl.over(now) {
 			cl.c.Close()
+		} else if cl.dead {
+			cl.c.Resume()
 		}
 	}
 	if f.stopping {
 		f.ends(now)
 	}
 }
+
+// over tells whether a connection's time has come.
+func (cl *client) over(now time.Duration) bool {
+	unread := cl.c.Pending() > 0
+	switch {
+	case unread && now-cl.last > stuckFor && len(cl.queue) == 0: // it does not read
+		return true
+	case cl.ended: // all is said
+		return !unread && now-cl.endAt > lingerFor
+	case cl.dead || cl.final || len(cl.queue) > 0:
+		return false
+	case !cl.spoke || cl.part > 0: // owed a close
+		return now-cl.heard > silentFor || cl.part > 0 && now-cl.part > partFor
+	}
+	return now-cl.last > idleFor && cl.unused()
+}
--- a/relayfront/crossing_test.go
+++ b/relayfront/crossing_test.go
@@ -1,6 +1,7 @@
 package relayfront_test
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -74,3 +75,170 @@
 	w.onLoop(func() bool { return w.f.Clients() == 0 })
 	w.nothingKept()
 }
+
+// A client that always has a request open is closed at a planned end all the same: what was read is
+// answered, what comes behind it is not begun, and its connection ends in order.
+func TestPlannedEndOfABusyClient(t *testing.T) {
+	w := start(t, 256)
+	w.node.Usually(relay.Order{Wait: 50 * time.Millisecond})
+	c := w.client()
+	c.say(get("0"))
+	if err := w.node.Await(1, patience); err != nil {
+		t.Fatal(err)
+	}
+	w.f.Stop()
+	said := 1
+	for answered := 0; ; answered++ {
+		c.Write([]byte(get(w.id()))) // one behind the one that is open; it may cross the end
+		said++
+		got, err := relay.ReadAnswer(c.in)
+		if err != nil {
+			break
+		}
+		if got[0] != '$' {
+			t.Fatalf("answer %d: %q", answered, got)
+		}
+		if said > 1000 {
+			t.Fatal("it goes on for ever")
+		}
+	}
+	w.ended()
+	if seen, _ := w.node.Seen(); len(seen) >= said {
+		t.Errorf("%d at the node of %d that were sent: what crossed the end was begun", len(seen), said)
+	}
+}
+
+// ended waits for the front's end.
+func (w *world) ended() {
+	w.t.Helper()
+	select {
+	case err := <-w.end:
+		if err != nil {
+			w.t.Error(err)
+		}
+	case <-time.After(patience):
+		w.t.Error("it does not end")
+	}
+}
+
+// What is still open shortly before the platform kills the dispatcher gets its answer, and the
+// request behind it is not begun.
+func TestPlannedEndOfASilentNode(t *testing.T) {
+	w := start(t, 256)
+	w.node.Usually(relay.Order{Hang: true})
+	c := w.client()
+	c.say(put("1", "body"))
+	if err := w.node.Await(1, patience); err != nil {
+		t.Fatal(err)
+	}
+	w.f.OnLoop(func() { c.say(relay.Command("PING")) })
+	w.onLoop(func() bool { return w.f.Queued() == 2 })
+	w.f.Stop()
+	w.f.Advance(600 * time.Millisecond) // the last who come have come
+	w.f.Sweep()
+	w.f.Advance(50 * time.Millisecond)
+	w.f.Sweep()
+	c.say(get("late"))
+	w.f.Advance(2900 * time.Millisecond) // 3 s and 0.7 s after it was told, it may be killed
+	w.f.Sweep()
+	c.expect("-ERR failed")
+	c.expect("+PONG")
+	if _, err := c.in.ReadByte(); err == nil {
+		t.Error("the connection goes on")
+	}
+	c.Close()
+	w.ended()
+	if seen, _ := w.node.Seen(); len(seen) != 1 {
+		t.Errorf("%d commands at the node, want 1", len(seen))
+	}
+}
+
+// Connections that wait to be accepted when the listener closes are accepted and served.
+func TestPlannedEndEmptiesTheAcceptQueue(t *testing.T) {
+	w := start(t, 256)
+	w.f.Stop()
+	w.f.Advance(490 * time.Millisecond)
+	var late *client
+	w.f.OnLoop(func() { // it comes while the loop stands, and is found by the sweep that closes the listener
+		late = w.client()
+		late.say(get("late"))
+		w.f.CloseListener()
+	})
+	late.expect(answer("late"))
+	w.f.Advance(100 * time.Millisecond)
+	late.Close()
+	w.ended()
+}
+
+// A client that leaves while its connection is not read is noticed: its requests end.
+func TestLeavingAPausedConnection(t *testing.T) {
+	w := start(t, 256)
+	w.node.Usually(relay.Order{Hang: true})
+	c := w.client()
+	c.say(get("1"))
+	w.onLoop(func() bool { return w.f.Queued() == 1 })
+	w.f.PauseClients()
+	c.say(get("2"))
+	c.Close()
+	w.onLoop(func() bool { return w.f.Clients() == 0 })
+	w.nothingKept()
+	if seen, _ := w.node.Seen(); len(seen) > 1 {
+		t.Errorf("at the node: %v", seen)
+	}
+}
+
+// What is read from a client that is known to have left is not begun.
+func TestCommandsOfWhoHasLeft(t *testing.T) {
+	w := start(t, 256)
+	c := w.client()
+	c.say(relay.Command("PING"))
+	c.expect("+PONG")
+	w.f.OnLoop(func() {
+		c.say(get("1"))
+		c.Close()
+		w.until(w.f.Hung)
+	})
+	w.onLoop(func() bool { return w.f.Clients() == 0 })
+	if seen, _ := w.node.Seen(); len(seen) > 0 {
+		t.Errorf("at the node: %v", seen)
+	}
+}
+
+// A command may come in pieces over seconds; one that stops coming has its connection closed.
+func TestSlowWriters(t *testing.T) {
+	w := start(t, 256)
+	c := w.client()
+	text := get("1")
+	for i := 0; i < len(text); i += 40 {
+		if i > 0 {
+			w.onLoop(func() bool { return w.f.Parts() == 1 })
+			w.f.Advance(2 * time.Second)
+			w.f.Sweep()
+		}
+		c.say(text[i:min(i+40, len(text))])
+	}
+	c.expect(answer("1"))
+	c.say(text[:40])
+	w.onLoop(func() bool { return w.f.Parts() == 1 })
+	w.f.Advance(2600 * time.Millisecond)
+	w.f.Sweep()
+	if b, err := c.in.ReadByte(); err == nil {
+		t.Errorf("%q: the connection goes on", b)
+	}
+}
+
+// Who sends on behind what can't be read gets its error, whole, and then an end in order: nothing
+// of what came is left unread, which would reset the connection.
+func TestErrorIsReadBehindAFlood(t *testing.T) {
+	w := start(t, 256)
+	c := w.client()
+	c.say("nonsense\r\n" + string(make([]byte, 256<<10)))
+	c.expect("-ERR Protocol error")
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Errorf("it ends with %v", err)
+	}
+	w.f.OnLoop(func() {})
+	if _, err := c.Write([]byte("more")); err != nil {
+		t.Errorf("it is reset at once: %v", err)
+	}
+}
--- a/relayfront/export_test.go
+++ b/relayfront/export_test.go
@@ -1,6 +1,10 @@
 package relayfront
 
-import "golang.org/x/sys/unix"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // OnLoop runs f on the front's loop and waits for it. What clients and nodes do meanwhile is in the
 // kernel when the loop goes on.
@@ -46,3 +50,34 @@
 	}
 	return false
 }
+
+// Advance puts the front's clock forward, on its loop.
+func (f *Front) Advance(by time.Duration) { f.OnLoop(func() { f.epoch += by }) }
+
+// Sweep looks after connections as the clock would have it.
+func (f *Front) Sweep() { f.OnLoop(func() { f.sweep(f.now()) }) }
+
+// CloseListener does what a planned end does first, once its time has come.
+func (f *Front) CloseListener() {
+	f.epoch += goOn
+	f.sweep(f.now())
+}
+
+// PauseClients has no client's connection read.
+func (f *Front) PauseClients() {
+	f.OnLoop(func() {
+		for _, cl := range f.clients {
+			cl.c.Pause()
+		}
+	})
+}
+
+// Parts is how many clients have sent a part of a command.
+func (f *Front) Parts() (n int) {
+	for _, cl := range f.clients {
+		if cl.part > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/relayfront/front.go
+++ b/relayfront/front.go
@@ -61,9 +61,10 @@
 	watch     *watch // the present one
 	old       *watch // at the address before, until the present one has told something
 
-	stopping  bool
-	stopAt    time.Duration // since
-	unlistens bool
+	stopping bool
+	stopAt   time.Duration // since
+	closedAt time.Duration // the listener was, in a planned end
+	over     bool          // it has begun to end its loop
 }
 
 // task is an open request.
@@ -247,7 +248,7 @@
 
 // ask opens a watch, where there is none.
 func (f *Front) ask() {
-	if f.watch != nil {
+	if f.watch != nil || f.stopping {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -298,7 +299,7 @@
 // watch there is opened while the old one still stands.
 func (f *Front) Reload(cfg Config) {
 	f.loop.Do(func() {
-		if cfg.Discovery == f.discovery {
+		if cfg.Discovery == f.discovery || f.stopping {
 			return
 		}
 		f.log.Info("discovery has moved", zap.Stringer("to", cfg.Discovery))
@@ -315,14 +316,19 @@
 
 // ---- The end.
 
-// Times of a planned end.
+// Times of a planned end. The platform kills a dispatcher no sooner than the longest deadline,
+// counted as killCap where it is longer, and killAfter more after it told it to end; what it finds
+// unanswered then is lost, but for what was there in the first goOn or so.
 const (
-	goOn  = 500 * time.Millisecond // clients still come for up to 0.4 s
-	after = 600 * time.Millisecond // beyond the longest deadline, then it ends in any case
+	goOn      = 500 * time.Millisecond // clients still come for up to 0.4 s
+	killCap   = 3 * time.Second
+	killAfter = 700 * time.Millisecond
+	answerBy  = 200 * time.Millisecond // before that, all that is open is answered
+	endBy     = 50 * time.Millisecond  // before that, it ends in any case
 )
 
-// Stop lets a dispatcher end: it goes on serving while clients still come, then closes
-// connections between requests, answers what it has taken, and ends.
+// Stop lets a dispatcher end: it goes on serving while clients still come, then begins nothing
+// more, answers what it has taken, closes each connection after its last answer, and ends.
 func (f *Front) Stop() {
 	f.loop.Do(func() {
 		if !f.stopping {
@@ -331,30 +337,56 @@
 	})
 }
 
+// killAt is when the platform may kill a dispatcher that was told to end.
+func (f *Front) killAt() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range f.cfg.Settings.Choice.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return f.stopAt + min(longest, killCap) + killAfter
+}
+
 // ends goes on with a planned end.
 func (f *Front) ends(now time.Duration) {
-	if now < f.stopAt+goOn {
+	if now < f.stopAt+goOn || f.over {
 		return
 	}
-	if !f.unlistens {
-		f.unlistens = true
+	if f.closedAt == 0 {
+		f.closedAt = now
 		f.loop.Unlisten()
+	}
+	if now < f.closedAt+sweepEvery {
 		return // what was accepted at the last moment is read first
 	}
+	killAt := f.killAt()
+	late := now > killAt-answerBy
+	if late {
+		f.abandonAll()
+	}
 	for _, cl := range slices.Clone(f.clients) {
-		if cl.unused() {
-			cl.c.Close()
+		// What was read of a client that reads slowly, and what a new one sent first, is taken before.
+		if wait := cl.c.Paused() || !cl.spoke && cl.c.Waits(); !cl.final && (late || !wait) {
+			cl.finish()
 		}
 	}
-	longest := time.Duration(0)
-	for _, c := range f.cfg.Settings.Choice.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	if len(f.clients) == 0 || now > f.stopAt+longest+after {
-		f.log.Info("ended", zap.Int("open", len(f.tasks)))
+	if len(f.clients) == 0 || now > killAt-endBy {
+		f.over = true
+		f.log.Info("ended", zap.Int("open", len(f.tasks)), zap.Int("connections", len(f.clients)))
 		go f.loop.Stop()
 	}
 }
 
+// abandonAll answers all that is still open shortly before the end.
+func (f *Front) abandonAll() {
+	for _, cl := range slices.Clone(f.clients) {
+		for _, e := range slices.Clone(cl.queue) {
+			if t := e.task; t != nil && !e.done {
+				f.finish(t, resp.AppendLine(nil, resp.Failure, "ERR failed: the dispatcher ends"))
+				f.tell(exchange.Abandon{ID: t.id})
+			}
+		}
+	}
+}
+
 // Addr is where a dispatcher listens.
 func (f *Front) Addr() string { return f.cfg.Listen.String() }
