Discovery is read as a stream of JSON, silence shows after 2.7 s, and pauses between calls fit 6 s

(2) Silence showed after 5 s, the next call came up to 1.5 s later and could take 3 s: 9.5 s, where a change binds 6 s after a watch fell silent. Now 2.7 s (an empty line is due every 2 s), 0.25 to 0.75 s before the first call after a watch that told something, 2.5 s for its answer. (3) choice.onList paused for up to 6 s after a few failures, beyond the 6 s after which a change binds once discovery can be reached; now 3 s at most. The test has the figures of the protocol, not those of the code.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,7 +55,7 @@
 	suspectAfter     = 3
 	backoffMin       = 100 * time.Millisecond
 	backoffMax       = 2 * time.Second
-	callMin, callMax = 500 * time.Millisecond, 4 * time.Second // between failed calls to discovery
+	callMin, callMax = 500 * time.Millisecond, 2 * time.Second // between failed calls to discovery (6 s bind)
 	forgetAfter      = 30 * time.Second                        // idle volumes
 	retryGap         = 20 * time.Millisecond                   // before a further attempt
 )
@@ -872,8 +872,8 @@
 // its successor, if one is listed.
 func (d *Dispatcher) onList(e NodeList) {
 	if e.Kind == Failed {
-		d.calls++
 		gap := min(callMin<<min(d.calls, 8), callMax)
+		d.calls++
 		d.at(d.now+time.Duration(float64(gap)*(0.5+d.rng.Float64())), &task{kind: doWatch})
 		return
 	}
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -158,14 +158,20 @@
 		t.Fatal("discovery not asked at the start")
 	}
 	now := time.Hour
-	for range 20 {
-		if watched(d.Handle(now, NodeList{Kind: Failed})) {
-			t.Fatal("asked again at once after a failure")
-		}
-		now += callMax * 3 / 2
-		if !watched(d.Handle(now, Fired{"wake"})) {
-			t.Fatal("not asked again within the longest gap")
+	// A change binds 6 s after discovery could be reached, and a call may take 2.5 s of these; 6 s after
+	// a watch fell silent, which shows 2.7 s later.
+	for range 3 {
+		longest := 750 * ms
+		for range 20 {
+			if watched(d.Handle(now, NodeList{Kind: Failed})) {
+				t.Fatal("asked again at once after a failure")
+			}
+			if now += longest; !watched(d.Handle(now, Fired{"wake"})) {
+				t.Fatalf("not asked again %v after a failure", longest)
+			}
+			longest = 3 * time.Second
 		}
+		d.Handle(now, NodeList{Kind: Changes}) // it was told something: what failed before is over
 	}
 }
 
--- a/internal/discover/discover.go
+++ b/internal/discover/discover.go
@@ -4,11 +4,12 @@
 package discover
 
 import (
-	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -20,7 +21,7 @@
 type Options struct {
 	Names   targets.Names
 	Answer  time.Duration // until the answer's head is there
-	Silence time.Duration // between lines
+	Silence time.Duration // without a byte, or from a document's first to its last
 }
 
 // Watch follows discovery at an address from a version on; below 0: from the whole list.
@@ -62,22 +63,18 @@
 	if r.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", r.Status)
 	}
-	in := bufio.NewScanner(r.Body)
-	in.Buffer(make([]byte, 0, 4<<10), targets.MaxDocument)
-	for {
-		alarm.Reset(o.Silence)
-		if !in.Scan() {
-			err := in.Err()
-			if err == nil {
+	in := &body{r: r.Body, alarm: alarm, silence: o.Silence}
+	docs := json.NewDecoder(in) // a document may come on many lines
+	for alarm.Reset(o.Silence); ; {
+		var text json.RawMessage
+		if err := docs.Decode(&text); err != nil {
+			if errors.Is(err, io.EOF) {
 				err = errors.New("the watch ended")
 			}
 			return cause(ctx, err)
 		}
-		line := bytes.TrimSpace(in.Bytes())
-		if len(line) == 0 {
-			continue
-		}
-		d, err := targets.Parse(line, o.Names)
+		in.ended()
+		d, err := targets.Parse(text, o.Names)
 		if err != nil {
 			return err
 		}
@@ -85,6 +82,39 @@
 	}
 }
 
+// body is what a watch reads. White space between documents shows that the watch stands; a document
+// that has begun has to end in the same time, and within its bound on size.
+type body struct {
+	r       io.Reader
+	alarm   *time.Timer
+	silence time.Duration
+	within  bool // a document has begun
+	size    int  // bytes since the last document
+}
+
+// Read reads, and puts the alarm off where nothing but white space has come since the last document.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if n > 0 && !b.within {
+		b.alarm.Reset(b.silence)
+		b.within = len(bytes.TrimSpace(p[:n])) > 0
+	}
+	if b.size += n; !b.within {
+		b.size = 0
+	}
+	if b.size > targets.MaxDocument {
+		return n, fmt.Errorf("discovery: a document of over %d bytes", targets.MaxDocument)
+	}
+	return n, err
+}
+
+// ended notes that a document is whole. What was read behind it may be the beginning of another,
+// whose time counts from the next read.
+func (b *body) ended() {
+	b.alarm.Reset(b.silence)
+	b.within, b.size = false, 0
+}
+
 func cause(ctx context.Context, err error) error {
 	if c := context.Cause(ctx); c != nil {
 		return c
--- a/relayfront/front.go
+++ b/relayfront/front.go
@@ -240,10 +240,13 @@
 	told   bool
 }
 
-// Bounds of a watch: discovery answers within 2 s or not at all, and an empty line is due every 2 s.
+// Bounds of a watch. A change counts as told 6 s after discovery had it and could be reached, and 6 s
+// after a watch fell silent that would have told it. Discovery answers within 2 s or not at all, and
+// an empty line is due every 2 s; choice pauses for 0.75 s at most before the first call after a watch
+// that had told something, and for 3 s at most before any.
 const (
-	discoveryAnswer  = 3 * time.Second
-	discoverySilence = 5 * time.Second
+	discoveryAnswer  = 2500 * time.Millisecond
+	discoverySilence = 2700 * time.Millisecond
 )
 
 // ask opens a watch, where there is none.
