--- a/internal/objcmd/objcmd_test.go
+++ b/internal/objcmd/objcmd_test.go
@@ -66,3 +66,63 @@
 		}
 	}
 }
+
+// Whatever words come, what is taken keeps to the terms, and passes on as a command that reads the
+// same but for the time.
+func FuzzParse(f *testing.F) {
+	f.Add("OBJ.GET", "7f3a9c21e0b4d655", "1", "c=read,t=gold,d=480,volume=00000003b4d60021,units=2,shard=3,hosts=3", "")
+	f.Add("obj.put", "7f3a9c21e0b4d655", "id", "d=1e3,c=write,t=gold,volume=00000003b4d60021,units=.5,shard=-1,hosts=3,x==,d", "body")
+	f.Add("OBJ.GET", "", "\x00", "d=,d=NaN,units=Inf,shard=99999999999999999999,hosts=-0", "")
+	f.Add("OBJ.GET", "7f3a9c21e0b4d655", "1", "c=read,t=gold,d=0x1p9,volume=00000003b4d60021,units=2,shard=+3,hosts=3", "")
+	f.Fuzz(func(t *testing.T, name, piece, id, list, body string) {
+		words := [][]byte{[]byte(name), []byte(piece), []byte(id), []byte(list)}
+		if Named(words[0], Put) {
+			words = append(words, []byte(body))
+		}
+		if !Is(words[0]) {
+			return
+		}
+		tt := terms()
+		c, err := tt.Parse(words)
+		if err != nil {
+			return
+		}
+		r := c.Request
+		if r.Left <= 0 || r.Left > longest || !(r.Units > 0 && r.Units <= tt.Largest) || r.Shard < choice.AnyShard || int(r.Shard) >= tt.Shards || r.Hosts < 1 || tt.Writes[r.Class] != c.Put {
+			t.Fatalf("%q: %+v", list, r)
+		}
+		sent, n, err := resp.Command(c.AppendTo(nil, time.Second), nil)
+		if err != nil || n == 0 || len(sent) != len(words) {
+			t.Fatalf("%q: %q, %v", list, sent, err)
+		}
+		again, err := tt.Parse(sent)
+		if err != nil || again.Request.Left != time.Second {
+			t.Fatalf("%q: %q, %v", list, sent, err)
+		}
+		if again.Request.Left = r.Left; again.Request != r {
+			t.Errorf("%+v, sent as %+v", r, again.Request)
+		}
+	})
+}
+
+// Whatever a node answers, figures that make no sense are left out.
+func FuzzWord(f *testing.F) {
+	for _, s := range []string{"*3\r\n$1\r\nv\r\n$14\r\nused=37,cost=4\r\n$12\r\nrif=7,lat_ms\r\n", "-ERR failed used=9,cost=2 inflight=5,queue=0\r\n", "-BUSY\r\n", "-ERR used=-1e999,cost=NaN\r\n",
+		"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", "*-1\r\n", "$3000000000\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var a resp.Answer
+		n, err := a.Read(text)
+		if n == 0 || err != nil {
+			return
+		}
+		value, w, ok := Word(&a)
+		if !(w.Use == 0 || w.Use >= 1 && w.Use <= 1e9+1) || !(w.Elsewhere >= 0 && w.Elsewhere <= 1e9) {
+			t.Errorf("%q: %+v", text, w)
+		}
+		if served := ok && w.Status == choice.Served; served && value == nil && len(a.Items) == 0 {
+			t.Errorf("%q: served with nothing", text)
+		}
+	})
+}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"net/netip"
 	"slices"
 	"time"
@@ -90,7 +91,7 @@
 	if _, err := netip.ParseAddrPort(s.Addr); err != nil && state != choice.Removed {
 		return exchange.Node{}, fmt.Errorf("addr: %w", err)
 	}
-	return exchange.Node{Addr: s.Addr, Node: choice.Node{ID: choice.NodeID(s.ID), Zone: place(names.Zones, s.Zone),
+	return exchange.Node{Addr: s.Addr, Node: choice.Node{ID: choice.NodeID(s.ID), Zone: zone(names.Zones, s.Zone),
 		Kind: place(names.Kinds, s.Kind), Shard: choice.Shard(s.Cell), State: state,
 		Started: time.Duration(s.Started * float64(time.Millisecond))}}, nil
 }
@@ -102,3 +103,15 @@
 	}
 	return len(names)
 }
+
+// zone is a zone's number. One that the settings don't name has a number of its own behind theirs: what
+// may be repeated within a zone must not be repeated in another.
+func zone(names []string, s string) int {
+	i := place(names, s)
+	if i == len(names) {
+		h := fnv.New32a()
+		h.Write([]byte(s))
+		i += int(h.Sum32())
+	}
+	return i
+}
--- a/relayfront/crossing_test.go
+++ b/relayfront/crossing_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -242,3 +243,52 @@
 		t.Errorf("it is reset at once: %v", err)
 	}
 }
+
+// silentDiscovery takes connections and says nothing.
+func silentDiscovery(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln.Addr().String()
+}
+
+// Discovery moves twice, to where nobody answers: the watch that has told something is followed on.
+func TestTwoMovesBeforeTheNewWatchTells(t *testing.T) {
+	w := start(t, 256)
+	w.until(func() bool { return w.disc.Tell(relay.List(42, true, relay.Entry{ID: "s1", Addr: w.node.Addr(), State: "Ready"})) > 0 })
+	w.onLoop(func() bool { return w.f.Version() == 42 })
+	for range 2 {
+		next := w.cfg
+		next.Discovery = netip.MustParseAddrPort(silentDiscovery(t))
+		w.f.Reload(next)
+	}
+	w.f.OnLoop(func() {})
+	w.disc.Tell(relay.List(43, false, relay.Entry{ID: "s1", Addr: w.node.Addr(), State: "Terminating"}))
+	w.onLoop(func() bool { return w.f.Version() == 43 })
+}
+
+// Discovery moves while its first watch is still being opened: the new place is asked at once, and
+// once it has told something the old one's end is no news.
+func TestMoveWhileTheFirstWatchOpens(t *testing.T) {
+	w := start(t, 256)
+	next := w.cfg
+	moved, err := relay.StartDiscovery()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(moved.Stop)
+	next.Discovery = netip.MustParseAddrPort(moved.Addr())
+	w.f.Reload(next)
+	w.until(func() bool { return moved.Tell(relay.List(43, true, relay.Entry{ID: "s1", Addr: w.node.Addr(), State: "Ready"})) > 0 })
+	w.onLoop(func() bool { return w.f.Version() == 43 })
+	w.disc.End()
+	c := w.client()
+	c.say(get("1"))
+	c.expect(answer("1"))
+	if calls := moved.Calls(); len(calls) != 1 {
+		t.Errorf("%d calls at the new place", len(calls))
+	}
+}
--- a/relayfront/export_test.go
+++ b/relayfront/export_test.go
@@ -81,3 +81,6 @@
 	}
 	return n
 }
+
+// Version is that of the list which is known.
+func (f *Front) Version() int64 { return f.version }
--- a/relayfront/front.go
+++ b/relayfront/front.go
@@ -307,11 +307,14 @@
 		}
 		f.log.Info("discovery has moved", zap.Stringer("to", cfg.Discovery))
 		f.discovery = cfg.Discovery
-		if f.watch != nil {
-			if f.old != nil {
-				f.old.cancel()
+		if f.watch != nil { // of two that stand, the one that has told something goes on
+			if f.old == nil || f.watch.told {
+				f.old, f.watch = f.watch, f.old
+			}
+			if f.watch != nil {
+				f.watch.cancel()
+				f.watch = nil
 			}
-			f.old, f.watch = f.watch, nil
 		}
 		f.ask()
 	})
