Guards of the front taken out once each; tests of ends at nodes, slow readers, churn

The three against what a node sends beside its answer are tested alone now: left over in the same read, on an unused connection, unread when a request is about to be written; and that an error ends its connection. Without a test that fails when it is out: Conn.offer's stop after a failed write (client.answered covers it), and waiting for a paused client at a planned end.

--- a/relayfront/client.go
+++ b/relayfront/client.go
@@ -94,11 +94,11 @@
 	return len(cl.queue) == 0 && cl.c.Pending() == 0 && cl.c.Quiet()
 }
 
-// OnData takes commands. Those of a client that has left are not begun; what comes on a dead
-// connection is thrown away, a read each sweep: at full speed it would take the core from others.
+// OnData takes commands. What comes on a dead connection is thrown away, a read each sweep: at full
+// speed it would take the core from others.
 func (cl *client) OnData(c *netloop.Conn, b []byte) int {
 	cl.heard = cl.f.now()
-	if cl.dead || c.Left() {
+	if cl.dead {
 		c.Pause()
 		return len(b)
 	}
--- a/relayfront/crossing_test.go
+++ b/relayfront/crossing_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,8 +57,8 @@
 	})
 	w.onLoop(func() bool { return w.f.Clients() == 0 })
 	w.nothingKept()
-	if seen, _ := w.node.Seen(); len(seen) > 0 {
-		t.Errorf("at the node: %v", seen)
+	if n := w.f.Begun(); n > 0 {
+		t.Errorf("%d requests were begun", n)
 	}
 }
 
@@ -128,7 +129,7 @@
 	w := start(t, 256)
 	w.node.Usually(relay.Order{Hang: true})
 	c := w.client()
-	c.say(put("1", "body"))
+	c.say(relay.Command("OBJ.PUT", piece, "1", fields("c", "c=write", "d", "d=60000"), "body"))
 	if err := w.node.Await(1, patience); err != nil {
 		t.Fatal(err)
 	}
@@ -226,6 +227,101 @@
 	if b, err := c.in.ReadByte(); err == nil {
 		t.Errorf("%q: the connection goes on", b)
 	}
+	w.onLoop(func() bool { return w.f.Clients() == 0 })
+	c = w.client()
+	sent := 0
+	for ; sent < len(text) && w.f.Ahead(sent == 0); sent += 10 { // in time, and yet without end
+		c.Write([]byte(text[sent : sent+10]))
+		w.onLoop(func() bool { return w.f.Parts() == 1 || w.f.Clients() == 0 && sent > 0 })
+		w.f.Advance(2 * time.Second)
+		w.f.Sweep()
+	}
+	if sent >= 100 {
+		t.Errorf("%d bytes of a command came over %d s", sent, sent/5)
+	}
+}
+
+// slowReader asks for so much that the kernel does not take all of it, and reads nothing.
+func (w *world) slowReader(requests int) *client {
+	w.node.Usually(relay.Order{Say: "*3\r\n" + relay.Bulk(strings.Repeat("v", 64<<10)) + "$-1\r\n$-1\r\n"})
+	c := w.client()
+	c.say(relay.Command("PING"))
+	c.expect("+PONG")
+	w.f.NarrowClients()
+	for range requests {
+		c.say(get(w.id()))
+	}
+	w.onLoop(func() bool { return w.f.Queued() == 0 && w.f.Pending() > 0 })
+	return c
+}
+
+// Who does not read its answers is closed after a while.
+func TestAnswersThatNobodyReads(t *testing.T) {
+	w := start(t, 256)
+	w.slowReader(60)
+	w.f.Advance(9 * time.Second)
+	w.f.Sweep()
+	w.onLoop(func() bool { return w.f.Clients() == 1 })
+	w.f.Advance(2 * time.Second)
+	w.f.Sweep()
+	w.onLoop(func() bool { return w.f.Clients() == 0 })
+}
+
+// Who reads slowly gets its answers whole at a planned end, and an end in order.
+func TestPlannedEndOfASlowReader(t *testing.T) {
+	w := start(t, 256)
+	c := w.slowReader(60)
+	w.f.Stop()
+	w.f.Advance(600 * time.Millisecond)
+	w.f.Sweep()
+	w.f.Advance(100 * time.Millisecond)
+	w.f.Sweep()
+	w.f.Advance(time.Second) // longer than it lingers
+	w.f.Sweep()
+	n, err := io.Copy(io.Discard, c.in)
+	if each := int64(len(relay.Bulk(strings.Repeat("v", 64<<10)))); n%each != 0 || n == 0 || err != nil {
+		t.Errorf("%d bytes came, %d each (%v)", n, each, err)
+	}
+}
+
+// What comes on a connection that a planned end has half closed is read and thrown away.
+func TestBehindAPlannedEnd(t *testing.T) {
+	w := start(t, 256)
+	c := w.client()
+	c.say(relay.Command("PING"))
+	c.expect("+PONG")
+	w.f.Stop()
+	w.f.Advance(600 * time.Millisecond)
+	w.f.Sweep()
+	w.f.Advance(100 * time.Millisecond)
+	w.f.Sweep()
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Fatalf("it ends with %v", err)
+	}
+	c.say(get("late"))
+	w.onLoop(func() bool { return w.f.Clients() == 0 || w.f.Quiet() })
+	if n := w.f.Clients(); n != 1 {
+		t.Errorf("%d connections: what came was left unread, and the close reset it", n)
+	}
+	w.f.OnLoop(func() {
+		if w.f.Begun() > 0 {
+			t.Error("it was begun")
+		}
+	})
+}
+
+// No watch is opened in a planned end.
+func TestNoWatchInAPlannedEnd(t *testing.T) {
+	w := start(t, 256)
+	w.until(func() bool { return w.disc.Tell("") > 0 })
+	w.f.Stop()
+	w.disc.End()
+	w.onLoop(func() bool { return !w.f.Watching() })
+	w.f.Advance(time.Second) // choice asks anew
+	w.ended()
+	if calls := w.disc.Calls(); len(calls) != 1 {
+		t.Errorf("%d calls", len(calls))
+	}
 }
 
 // Who sends on behind what can't be read gets its error, whole, and then an end in order: nothing
@@ -258,7 +354,9 @@
 // Discovery moves twice, to where nobody answers: the watch that has told something is followed on.
 func TestTwoMovesBeforeTheNewWatchTells(t *testing.T) {
 	w := start(t, 256)
-	w.until(func() bool { return w.disc.Tell(relay.List(42, true, relay.Entry{ID: "s1", Addr: w.node.Addr(), State: "Ready"})) > 0 })
+	w.until(func() bool {
+		return w.disc.Tell(relay.List(42, true, relay.Entry{ID: "s1", Addr: w.node.Addr(), State: "Ready"})) > 0
+	})
 	w.onLoop(func() bool { return w.f.Version() == 42 })
 	for range 2 {
 		next := w.cfg
@@ -282,7 +380,9 @@
 	t.Cleanup(moved.Stop)
 	next.Discovery = netip.MustParseAddrPort(moved.Addr())
 	w.f.Reload(next)
-	w.until(func() bool { return moved.Tell(relay.List(43, true, relay.Entry{ID: "s1", Addr: w.node.Addr(), State: "Ready"})) > 0 })
+	w.until(func() bool {
+		return moved.Tell(relay.List(43, true, relay.Entry{ID: "s1", Addr: w.node.Addr(), State: "Ready"})) > 0
+	})
 	w.onLoop(func() bool { return w.f.Version() == 43 })
 	w.disc.End()
 	c := w.client()
--- a/relayfront/export_test.go
+++ b/relayfront/export_test.go
@@ -84,3 +84,68 @@
 
 // Version is that of the list which is known.
 func (f *Front) Version() int64 { return f.version }
+
+// NodeConns is how many connections to nodes the exchange holds.
+func (f *Front) NodeConns() int { return f.x.Conns() }
+
+// HeardUnseen tells whether the kernel holds bytes of a node that the loop has not read.
+func (f *Front) HeardUnseen() bool {
+	for _, k := range f.nodes {
+		if !k.c.Quiet() {
+			return true
+		}
+	}
+	return false
+}
+
+// Command has the first client's connection read a command now, before anything else is read.
+func (f *Front) Command(text string) { f.clients[0].OnData(f.clients[0].c, []byte(text)) }
+
+// Answer has the first connection to a node that carries a request read bytes now.
+func (f *Front) Answer(text string) {
+	for _, k := range f.nodes {
+		if k.task != nil {
+			k.OnData(k.c, []byte(text))
+			return
+		}
+	}
+}
+
+// Begun is how many requests were begun.
+func (f *Front) Begun() int { return int(f.lastID) }
+
+// Pending is how many bytes of answers the kernel has not taken.
+func (f *Front) Pending() (n int) {
+	for _, cl := range f.clients {
+		n += cl.c.Pending()
+	}
+	return n
+}
+
+// Quiet tells whether nothing has come from clients that was not read.
+func (f *Front) Quiet() bool {
+	for _, cl := range f.clients {
+		if !cl.c.Quiet() {
+			return false
+		}
+	}
+	return true
+}
+
+// NarrowClients has the kernel take few bytes of answers.
+func (f *Front) NarrowClients() {
+	f.OnLoop(func() {
+		for _, cl := range f.clients {
+			unix.SetsockoptInt(cl.c.FD(), unix.SOL_SOCKET, unix.SO_SNDBUF, 4096)
+		}
+	})
+}
+
+// Watching tells whether a watch of discovery stands or is being opened.
+func (f *Front) Watching() bool { return f.watch != nil }
+
+// Ahead tells whether there is a client's connection, or none is expected yet.
+func (f *Front) Ahead(first bool) (yes bool) {
+	f.OnLoop(func() { yes = first || len(f.clients) > 0 })
+	return yes
+}
--- a/relayfront/front.go
+++ b/relayfront/front.go
@@ -370,8 +370,8 @@
 		f.abandonAll()
 	}
 	for _, cl := range slices.Clone(f.clients) {
-		// What was read of a client that reads slowly, and what a new one sent first, is taken before.
-		if wait := cl.c.Paused() || !cl.spoke && cl.c.Waits(); !cl.final && (late || !wait) {
+		// What was read of a client that reads slowly is taken before.
+		if !cl.final && (late || !cl.c.Paused()) {
 			cl.finish()
 		}
 	}
--- a/standin/relay/node.go
+++ b/standin/relay/node.go
@@ -22,6 +22,7 @@
 	After string        // sent right behind the answer
 	Hang  bool          // no answer
 	Close bool          // the connection ends instead of an answer, or after Say
+	Reset bool          // it ends by a reset then
 }
 
 // Seen is a command that came whole.
@@ -78,6 +79,13 @@
 	return append([]Seen(nil), n.seen...), n.opened
 }
 
+// Forget empties the log.
+func (n *Node) Forget() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seen = nil
+}
+
 // Await waits until so many commands have come.
 func (n *Node) Await(count int, timeout time.Duration) error {
 	end := time.After(timeout)
@@ -93,6 +101,15 @@
 	}
 }
 
+// Shout writes text on all open connections, whatever was asked there.
+func (n *Node) Shout(text string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		c.Write([]byte(text))
+	}
+}
+
 // Stop ends the node and resets its connections.
 func (n *Node) Stop() {
 	n.ln.Close()
@@ -156,6 +173,9 @@
 		io.Copy(io.Discard, c)
 		return false
 	}
+	if o.Reset {
+		c.(*net.TCPConn).SetLinger(0)
+	}
 	if o.Say == "" && o.Close {
 		return false
 	}
