--- a/lab/forced/forced.go
+++ b/lab/forced/forced.go
@@ -139,10 +139,11 @@
 			r.Ends = append(r.Ends, "")
 			continue
 		}
-		if err := p.wait(func() bool { return p.ends[i+1] != "" }); err != nil {
+		end := "" // read under the lock: other requests' ends may still come
+		if err := p.wait(func() bool { end = p.ends[i+1]; return end != "" }); err != nil {
 			return nil, fmt.Errorf("request %d has no end: %w", i+1, err)
 		}
-		r.Ends = append(r.Ends, p.ends[i+1])
+		r.Ends = append(r.Ends, end)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
