Tests of signals in a planned end, and of accepting at the bound on connections

At the bound a connection beyond it is closed and none in the middle of a command is. No code of the program changed.

--- a/relayfront/crossing_test.go
+++ b/relayfront/crossing_test.go
@@ -392,3 +392,61 @@
 		t.Errorf("%d calls at the new place", len(calls))
 	}
 }
+
+// A second SIGTERM does not begin the end anew, and SIGHUP during it opens no watch.
+func TestSignalsInAPlannedEnd(t *testing.T) {
+	w := start(t, 256)
+	w.until(func() bool { return w.disc.Tell("") > 0 })
+	w.f.Stop()
+	var first, second time.Duration
+	w.f.OnLoop(func() { first = w.f.StoppedAt() })
+	w.f.Advance(300 * time.Millisecond)
+	w.f.Stop()
+	moved, err := relay.StartDiscovery()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(moved.Stop)
+	next := w.cfg
+	next.Discovery = netip.MustParseAddrPort(moved.Addr())
+	w.f.Reload(next)
+	w.f.OnLoop(func() {
+		if second = w.f.StoppedAt(); !w.f.Watching() {
+			t.Error("the watch that stood is given up")
+		}
+	})
+	if first == 0 || second != first {
+		t.Errorf("it was told to end at %v, and then at %v", first, second)
+	}
+	w.f.Advance(500 * time.Millisecond)
+	w.ended()
+	if calls := moved.Calls(); len(calls) > 0 {
+		t.Errorf("%d calls at the new place", len(calls))
+	}
+}
+
+// Where every connection is in use, be it in the middle of a command, one more is closed, and none of
+// the others is; once one is unused, it makes room.
+func TestAcceptingAtTheBound(t *testing.T) {
+	w := start(t, 64)
+	bound := w.f.MostClients()
+	var all []*client
+	text := relay.Command("PING")
+	for range bound {
+		c := w.client()
+		c.say(text[:5])
+		all = append(all, c)
+		w.onLoop(func() bool { return w.f.Parts() == len(all) })
+	}
+	beyond := w.client()
+	if _, err := beyond.in.ReadByte(); err == nil {
+		t.Error("a connection beyond the bound is served")
+	}
+	for _, c := range all {
+		c.say(text[5:])
+		c.expect("+PONG")
+	}
+	c := w.client()
+	c.say(text)
+	c.expect("+PONG")
+}
--- a/relayfront/export_test.go
+++ b/relayfront/export_test.go
@@ -149,3 +149,9 @@
 	f.OnLoop(func() { yes = first || len(f.clients) > 0 })
 	return yes
 }
+
+// StoppedAt is when the front was told to end.
+func (f *Front) StoppedAt() time.Duration { return f.stopAt }
+
+// MostClients is the bound on connections of clients.
+func (f *Front) MostClients() int { return f.cfg.clientConns() }
