The churn test counts what the front keeps, not what the test keeps

Cause: the test itself: world.client registers a clean-up for each connection, which holds 600 closed ones. The bound stays.

--- a/relayfront/front_test.go
+++ b/relayfront/front_test.go
@@ -78,12 +78,19 @@
 }
 
 func (w *world) client() *client {
+	w.t.Helper()
+	c := w.dial()
+	w.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// dial opens a client's connection, which is the caller's to close.
+func (w *world) dial() *client {
 	w.t.Helper()
 	c, err := net.Dial("tcp", w.f.Addr())
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(patience))
 	return &client{w.t, c, bufio.NewReader(c)}
 }
--- a/relayfront/node_test.go
+++ b/relayfront/node_test.go
@@ -119,7 +119,7 @@
 				relay.Entry{ID: fmt.Sprintf("s%d", version), Addr: w.node.Addr(), State: "Ready", StartedMS: int64(version)},
 				relay.Entry{ID: fmt.Sprintf("s%d", version-1), Addr: w.node.Addr(), State: "Gone"}))
 			w.onLoop(func() bool { return w.f.Version() == int64(version) })
-			c := w.client()
+			c := w.dial() // a clean-up for each would be what grows
 			for range 3 {
 				id := w.id()
 				volume := fmt.Sprintf("volume=%016x", w.ids)
@@ -144,8 +144,10 @@
 	churn(100)
 	some := heap()
 	churn(600)
-	if many := heap(); many > some+256<<10 {
-		t.Errorf("%.0f KiB after 100 rounds, %.0f KiB after 700", some/1024, many/1024)
+	many := heap()
+	t.Logf("%.0f KiB after 100 rounds, %.0f KiB after 700", some/1024, many/1024)
+	if many > some+256<<10 {
+		t.Error("it grows")
 	}
 	w.nothingKept()
 	w.f.OnLoop(func() {
