Behind a failed write nothing is shown: a test of the loop that fails without the guard

The front's test did not fail with Conn.offer's stop taken out, as OnLeft closes the connection first. A handler of the loop's own that is reset within its first byte sees that byte alone; without the guard, 3 calls.

--- a/internal/netloop/loop_test.go
+++ b/internal/netloop/loop_test.go
@@ -225,3 +225,38 @@
 	l.Do(c.Resume)
 	<-h.done
 }
+
+// bytewise takes a byte a call, and answers it once its peer has reset the connection.
+type bytewise struct {
+	calls  int
+	within chan struct{}
+	closed chan error
+}
+
+func (h *bytewise) OnData(c *Conn, _ []byte) int {
+	if h.calls++; h.calls == 1 {
+		close(h.within)
+		unix.Poll([]unix.PollFd{{Fd: int32(c.FD())}}, 20_000) // milliseconds; the reset ends it
+	}
+	c.Write([]byte("x"))
+	return 1
+}
+func (h *bytewise) OnDrained(*Conn)            {}
+func (h *bytewise) OnClose(_ *Conn, err error) { h.closed <- err }
+
+// Behind a write that failed nothing more of what was read is shown.
+func TestNothingIsShownBehindAFailedWrite(t *testing.T) {
+	h := &bytewise{within: make(chan struct{}), closed: make(chan error, 1)}
+	_, addr := start(t, h)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Write([]byte("abc"))
+	<-h.within
+	c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+	if err := <-h.closed; err == nil || h.calls != 1 {
+		t.Errorf("%d calls, and an end by %v", h.calls, err)
+	}
+}
