Tests of the front: one set-up of an answer that ends its connection, counts read on the loop

TestBehindAnAnswerInTheSameRead and TestAnErrorEndsItsConnection had one set-up twice (endsWith now); TestPlannedEnd waited for the end as world.ended does; three tests read counts of the front beside its loop, which could be a data race of the test's own under -race. No code of the program changed.

--- a/relayfront/crossing_test.go
+++ b/relayfront/crossing_test.go
@@ -57,9 +57,11 @@
 	})
 	w.onLoop(func() bool { return w.f.Clients() == 0 })
 	w.nothingKept()
-	if n := w.f.Begun(); n > 0 {
-		t.Errorf("%d requests were begun", n)
-	}
+	w.f.OnLoop(func() {
+		if n := w.f.Begun(); n > 0 {
+			t.Errorf("%d requests were begun", n)
+		}
+	})
 }
 
 // Answers that come between a write that failed and the end of its connection take their requests
@@ -300,10 +302,10 @@
 	}
 	c.say(get("late"))
 	w.onLoop(func() bool { return w.f.Clients() == 0 || w.f.Quiet() })
-	if n := w.f.Clients(); n != 1 {
-		t.Errorf("%d connections: what came was left unread, and the close reset it", n)
-	}
 	w.f.OnLoop(func() {
+		if n := w.f.Clients(); n != 1 {
+			t.Errorf("%d connections: what came was left unread, and the close reset it", n)
+		}
 		if w.f.Begun() > 0 {
 			t.Error("it was begun")
 		}
--- a/relayfront/front_test.go
+++ b/relayfront/front_test.go
@@ -436,14 +436,7 @@
 			t.Error("the connection goes on")
 		}
 	}
-	select {
-	case err := <-w.end:
-		if err != nil {
-			t.Error(err)
-		}
-	case <-time.After(patience):
-		t.Error("it does not end")
-	}
+	w.ended()
 }
 
 // A wrong configuration is told by its field.
--- a/relayfront/node_test.go
+++ b/relayfront/node_test.go
@@ -12,25 +12,35 @@
 
 const secondCopy = "*3\r\n$3\r\nbad\r\n$-1\r\n$-1\r\n"
 
-// Each guard against what a node sends beside its answer alone. The first: what comes behind an answer
-// in the same read ends the connection, before anything else is decided.
-func TestBehindAnAnswerInTheSameRead(t *testing.T) {
+// endsWith has a node's answer read while a request is out there, in one piece, and expects that its
+// connection ends with it, before anything else is decided.
+func endsWith(t *testing.T, text, want string) {
+	t.Helper()
 	w := start(t, 256)
 	w.node.Usually(relay.Order{Hang: true})
 	c := w.client()
-	c.say(get("1"))
+	c.say(put("1", "body"))
 	if err := w.node.Await(1, patience); err != nil {
 		t.Fatal(err)
 	}
 	w.f.OnLoop(func() {
-		w.f.Answer("*3\r\n$4\r\ngood\r\n$-1\r\n$-1\r\n" + secondCopy)
+		w.f.Answer(text)
 		if n := w.f.NodeConns(); n != 0 {
 			t.Errorf("%d connections to nodes are left", n)
 		}
 	})
-	c.expect("$good")
+	c.expect(want)
 }
 
+// Each guard against what a node sends beside its answer alone. The first: what comes behind an answer
+// in the same read ends the connection.
+func TestBehindAnAnswerInTheSameRead(t *testing.T) {
+	endsWith(t, "*3\r\n$4\r\ngood\r\n$-1\r\n$-1\r\n"+secondCopy, "$good")
+}
+
+// An error may be noise in the form of one: its connection ends with it.
+func TestAnErrorEndsItsConnection(t *testing.T) { endsWith(t, "-ERR failed\r\n", "-ERR failed") }
+
 // The second: what comes on a connection on which nothing is asked ends it.
 func TestOnAnUnusedConnection(t *testing.T) {
 	w := start(t, 256)
@@ -40,27 +50,11 @@
 	w.onLoop(func() bool { return w.f.NodeConns() == 1 })
 	w.node.Shout(secondCopy)
 	w.onLoop(func() bool { return !w.f.HeardUnseen() })
-	if n := w.f.NodeConns(); n != 0 {
-		t.Errorf("%d connections to nodes are left", n)
-	}
-}
-
-// An error may be noise in the form of one: its connection ends with it.
-func TestAnErrorEndsItsConnection(t *testing.T) {
-	w := start(t, 256)
-	w.node.Usually(relay.Order{Hang: true})
-	c := w.client()
-	c.say(put("1", "body"))
-	if err := w.node.Await(1, patience); err != nil {
-		t.Fatal(err)
-	}
 	w.f.OnLoop(func() {
-		w.f.Answer("-ERR failed\r\n")
 		if n := w.f.NodeConns(); n != 0 {
 			t.Errorf("%d connections to nodes are left", n)
 		}
 	})
-	c.expect("-ERR failed")
 }
 
 // The third: before a request is written the kernel is asked whether something has come that the loop
