storagenode: log the disconnect of a request whose body is unread

Cause: a fake node learned of a disconnect from the request's context, and net/http watches a connection only after the body was read. A write that was queued or stalled was taken to be in flight until the node was done with it. A report now prints the log lines of a violation's requests. Why it works: the node polls the connection for the peer's close. No check or bound changed.

--- a/fake/storagenode/node.go
+++ b/fake/storagenode/node.go
@@ -71,7 +71,7 @@
 	if cfg.Cores > 0 {
 		n.cores = make(chan struct{}, cfg.Cores)
 	}
-	n.srv = &http.Server{Handler: n, ReadHeaderTimeout: readHeaderTimeout}
+	n.srv = &http.Server{Handler: n, ReadHeaderTimeout: readHeaderTimeout, ConnContext: withConn}
 	listener := &linkListener{Listener: ln, link: &sharedLink{rate: cfg.Link}, sendBuffer: cfg.SendBuffer}
 	n.tasks.Go(func() { _ = n.srv.Serve(listener) }) // returns once Stop closes the server
 	if cfg.Deferred > 0 && cfg.DeferEvery > 0 {
--- a/fake/storagenode/serve.go
+++ b/fake/storagenode/serve.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"chalkstand/internal/objectapi"
 )
@@ -14,10 +12,7 @@
 // ServeHTTP implements http.Handler.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := n.recordArrival(r)
-	stopWatch := context.AfterFunc(r.Context(), func() {
-		at := time.Since(n.epoch)
-		n.update(e, func(x *LogEntry) { x.Disconnected = at })
-	})
+	stopWatch := n.watchDisconnect(r, e)
 	defer func() {
 		stopWatch()
 		n.recordEnd(e)
--- a/lab/faultinjection/report.go
+++ b/lab/faultinjection/report.go
@@ -22,6 +22,8 @@
 	Repeats       int // dropped by nodes' deduplication
 	LateResponses int // of nodes, to attempts that were canceled before
 	Violations    []invariants.Violation
+
+	log *invariants.Log
 }
 
 // ClassReport counts the outcomes of one class's requests.
@@ -52,6 +54,7 @@
 		Duration:   r.options.Duration,
 		Script:     r.options.Script,
 		Violations: invariants.Check(r.params, &r.log),
+		log:        &r.log,
 	}
 	site := siteSettings(r.options, 0)
 	for _, c := range site.Classes {
@@ -138,6 +141,7 @@
 		count++
 		if count <= maxPrintedViolations {
 			fmt.Fprintf(w, "BROKEN %s: %8.3fs %s\n", name, v.At.Seconds(), v.Detail)
+			r.log.WriteEvidence(w, v)
 		}
 	}
 	if count == 0 {
--- /dev/null
+++ b/lab/invariants/evidence.go
@@ -0,0 +1,42 @@
+package invariants
+
+import (
+	"fmt"
+	"io"
+	"slices"
+
+	"chalkstand/fake/storagenode"
+)
+
+// WriteEvidence prints what the logs of clients and nodes hold of the requests of a violation.
+func (l *Log) WriteEvidence(w io.Writer, v Violation) {
+	for i := range l.Requests {
+		if r := &l.Requests[i]; slices.Contains(v.Tags, r.Tag) {
+			writeRequest(w, r)
+		}
+	}
+	for i := range l.Entries {
+		if e := &l.Entries[i]; slices.Contains(v.Tags, e.Tag) {
+			writeEntry(w, e)
+		}
+	}
+}
+
+func writeRequest(w io.Writer, r *Request) {
+	fmt.Fprintf(w, "         client %s: sent to %s at %v, ended at %v, status %d, key %s",
+		r.Tag, r.Gateway, r.Sent, r.Ended, r.Status, r.Key)
+	if r.ClientCanceled {
+		fmt.Fprint(w, ", canceled by the client")
+	}
+	if r.Aborted {
+		fmt.Fprint(w, ", response aborted")
+	}
+	fmt.Fprintln(w)
+}
+
+func writeEntry(w io.Writer, e *storagenode.LogEntry) {
+	fmt.Fprintf(w, "         node %s: %s, request %d of %s, attempt %d, arrived at %v, disconnected at %v, ended at %v, "+
+		"queued %v, served for %v, executed %v, status %d\n",
+		e.Node, e.Tag, e.Request, e.Gateway, e.Attempt, e.Arrived, e.Disconnected, e.Ended,
+		e.QueueTime, e.ServiceTime, e.Executed, e.Status)
+}
--- a/lab/invariants/invariants.go
+++ b/lab/invariants/invariants.go
@@ -43,6 +43,7 @@
 	Invariant string
 	At        time.Duration
 	Detail    string
+	Tags      []string // of the requests concerned, if it is about requests
 }
 
 // checker holds the log, indexed, and the violations found so far.
@@ -64,7 +65,7 @@
 	c.checkRetryBudget()
 	c.checkRateLimits()
 	for _, node := range log.OverloadedNodes {
-		c.report(SlowStartRespected, log.End, "%s was overloaded", node)
+		c.report(SlowStartRespected, log.End, nil, "%s was overloaded", node)
 	}
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
 	return c.violations
@@ -89,11 +90,12 @@
 	return c
 }
 
-func (c *checker) report(invariant string, at time.Duration, format string, args ...any) {
+func (c *checker) report(invariant string, at time.Duration, tags []string, format string, args ...any) {
 	c.violations = append(c.violations, Violation{
 		Invariant: invariant,
 		At:        at,
 		Detail:    fmt.Sprintf(format, args...),
+		Tags:      tags,
 	})
 }
 
--- a/lab/invariants/nodes.go
+++ b/lab/invariants/nodes.go
@@ -21,7 +21,7 @@
 	for _, e := range c.log.Entries {
 		at, ok := notified[gatewayNode{e.Gateway, e.Node}]
 		if ok && e.Arrived > at+c.params.DrainGrace+c.params.LogTolerance {
-			c.report(DrainsRespected, e.Arrived, "%s sent %s to %s %v after its drain notice",
+			c.report(DrainsRespected, e.Arrived, []string{e.Tag}, "%s sent %s to %s %v after its drain notice",
 				e.Gateway, e.Tag, e.Node, e.Arrived-at)
 		}
 	}
@@ -44,7 +44,7 @@
 				free += c.params.Quiescence
 			}
 			if e.Arrived < free-c.params.LogTolerance {
-				c.report(KeyOrder, e.Arrived, "%s reached %s %v before %s, of the same key, was over",
+				c.report(KeyOrder, e.Arrived, []string{previous.Tag, e.Tag}, "%s reached %s %v before %s, of the same key, was over",
 					e.Tag, e.Node, free-e.Arrived, previous.Tag)
 			}
 		}
@@ -86,7 +86,7 @@
 		count := float64(i - first + 1)
 		allowed := c.params.BudgetFree + c.params.BudgetRatio*float64(to-from)
 		if count > allowed {
-			c.report(RetryBudget, at, "%s: %.0f retries within %v, %.1f allowed", gateway, count, window, allowed)
+			c.report(RetryBudget, at, nil, "%s: %.0f retries within %v, %.1f allowed", gateway, count, window, allowed)
 		}
 	}
 }
@@ -122,7 +122,7 @@
 		b.level = min(limit.Capacity, b.level+limit.Rate*(e.Arrived-b.at).Seconds()) - e.Units
 		b.at = e.Arrived
 		if b.level < -limit.Rate*c.params.LogTolerance.Seconds()-limitTolerance {
-			c.report(RateLimits, e.Arrived, "%s: %.2f units beyond its limit", e.Volume, -b.level)
+			c.report(RateLimits, e.Arrived, []string{e.Tag}, "%s: %.2f units beyond its limit", e.Volume, -b.level)
 		}
 	}
 }
--- a/lab/invariants/requests.go
+++ b/lab/invariants/requests.go
@@ -17,17 +17,17 @@
 		lostInCrash := crashed && r.Ended >= crashedAt-c.params.LogTolerance
 		switch {
 		case r.Responses > 1:
-			c.report(NoRequestLost, r.Ended, "%s got %d responses", r.Tag, r.Responses)
+			c.report(NoRequestLost, r.Ended, []string{r.Tag}, "%s got %d responses", r.Tag, r.Responses)
 		case r.Responses == 0 && !r.ClientCanceled && !lostInCrash && c.log.End > due:
-			c.report(NoRequestLost, r.Ended, "%s got no response from %s", r.Tag, r.Gateway)
+			c.report(NoRequestLost, r.Ended, []string{r.Tag}, "%s got no response from %s", r.Tag, r.Gateway)
 		case r.Responses == 1 && r.Ended > due:
 			late := r.Ended - due + c.params.ResponseTolerance
-			c.report(NoRequestLost, r.Ended, "%s was answered %v after its deadline", r.Tag, late)
+			c.report(NoRequestLost, r.Ended, []string{r.Tag}, "%s was answered %v after its deadline", r.Tag, late)
 		case r.Status == http.StatusServiceUnavailable && !r.HasRetryAfter:
-			c.report(NoRequestLost, r.Ended, "%s was rejected without a Retry-After", r.Tag)
+			c.report(NoRequestLost, r.Ended, []string{r.Tag}, "%s was rejected without a Retry-After", r.Tag)
 		}
 		if r.ContentError != "" {
-			c.report(ContentIntact, r.Ended, "%s: %s", r.Tag, r.ContentError)
+			c.report(ContentIntact, r.Ended, []string{r.Tag}, "%s: %s", r.Tag, r.ContentError)
 		}
 	}
 }
@@ -42,7 +42,7 @@
 				c.checkConsecutive(entries[i-1], e)
 			}
 			if r != nil && r.Responses > 0 && !r.Aborted && e.Arrived > r.Ended+c.params.LogTolerance {
-				c.report(NoRequestLost, e.Arrived, "%s reached %s after its final response", tag, e.Node)
+				c.report(NoRequestLost, e.Arrived, []string{tag}, "%s reached %s after its final response", tag, e.Node)
 			}
 		}
 		if r != nil {
@@ -54,11 +54,11 @@
 // checkConsecutive checks two consecutive attempts of one request.
 func (c *checker) checkConsecutive(previous, e storagenode.LogEntry) {
 	if e.Arrived < c.endOf(previous)-c.params.LogTolerance {
-		c.report(OneAttemptAtATime, e.Arrived, "%s: attempt %d reached %s while attempt %d was at %s",
+		c.report(OneAttemptAtATime, e.Arrived, []string{e.Tag}, "%s: attempt %d reached %s while attempt %d was at %s",
 			e.Tag, e.Attempt, e.Node, previous.Attempt, previous.Node)
 	}
 	if e.Gateway == previous.Gateway && e.Request == previous.Request && e.Attempt == previous.Attempt {
-		c.report(OneAttemptAtATime, e.Arrived, "%s: attempt %d arrived twice", e.Tag, e.Attempt)
+		c.report(OneAttemptAtATime, e.Arrived, []string{e.Tag}, "%s: attempt %d arrived twice", e.Tag, e.Attempt)
 	}
 }
 
@@ -75,17 +75,17 @@
 		}
 	}
 	if executions > 1 {
-		c.report(ExecutedOnce, entries[len(entries)-1].Arrived, "%s was executed %d times", r.Tag, executions)
+		c.report(ExecutedOnce, entries[len(entries)-1].Arrived, []string{r.Tag}, "%s was executed %d times", r.Tag, executions)
 	}
 	if executions > 0 && r.Status == http.StatusServiceUnavailable && r.Responses == 1 {
-		c.report(ExecutedOnce, r.Ended, "%s was rejected, which promises that it was not executed, but it was", r.Tag)
+		c.report(ExecutedOnce, r.Ended, []string{r.Tag}, "%s was rejected, which promises that it was not executed, but it was", r.Tag)
 	}
 	if idempotency != NonIdempotent {
 		return
 	}
 	for i, e := range entries[1:] {
 		if entries[i].Executed || entries[i].Status == 0 {
-			c.report(ExecutedOnce, e.Arrived, "%s was retried after an ambiguous attempt", r.Tag)
+			c.report(ExecutedOnce, e.Arrived, []string{r.Tag}, "%s was retried after an ambiguous attempt", r.Tag)
 		}
 	}
 }
