serve, run: SIGTERM is not lost behind a series of SIGHUP

Callers saw: no graceful shutdown where SIGTERM came behind reloads; what was open was lost at the kill. Cause: one channel of four places for SIGHUP and SIGTERM; os/signal drops what finds it full.

--- a/cmd/chalkstand/run.go
+++ b/cmd/chalkstand/run.go
@@ -3,22 +3,23 @@
 import (
 	"errors"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
+	"chalkstand/internal/signals"
 	"chalkstand/respserver"
 )
 
+const runName = "run"
+
 // runCommand returns the command that runs the RESP2 server.
 func runCommand() *cobra.Command {
 	var file, level string
 	c := &cobra.Command{
-		Use:   "run",
+		Use:   runName,
 		Short: "Run a dispatcher of the platform's protocol",
 		Args:  cobra.NoArgs,
 		Long: `Run a dispatcher that speaks RESP2 with clients and storage nodes and follows the platform's
@@ -60,9 +61,11 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go handleSignals(signals, server, file, log)
+	received := signals.Listen()
+	defer received.Close()
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go handleSignals(received, stopped, server, file, log)
 	log.Info("serving",
 		zap.String("name", cfg.Name),
 		zap.Stringer("listen", cfg.Listen),
@@ -73,19 +76,29 @@
 }
 
 // handleSignals reloads the configuration on SIGHUP and starts a graceful shutdown on the other
-// signals. It runs until the process ends.
-func handleSignals(signals <-chan os.Signal, server *respserver.Server, file string, log *zap.Logger) {
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			log.Info("graceful shutdown started", zap.Stringer("signal", received))
+// signals, until the server has stopped.
+func handleSignals(
+	received *signals.Listener, stopped <-chan struct{}, server *respserver.Server, file string, log *zap.Logger,
+) {
+	for {
+		select {
+		case <-stopped:
+			return
+		case stop := <-received.Stop:
+			log.Info("graceful shutdown started", zap.Stringer("signal", stop))
 			server.Shutdown()
-			continue
-		}
-		cfg, err := respserver.LoadConfig(file)
-		if err != nil {
-			log.Error("configuration reload rejected", zap.Error(err))
-			continue
+		case <-received.Reload:
+			reloadServer(server, file, log)
 		}
-		server.Reload(cfg)
 	}
 }
+
+// reloadServer applies the changed configuration file. An invalid one changes nothing.
+func reloadServer(server *respserver.Server, file string, log *zap.Logger) {
+	cfg, err := respserver.LoadConfig(file)
+	if err != nil {
+		log.Error("configuration reload rejected", zap.Error(err))
+		return
+	}
+	server.Reload(cfg)
+}
--- a/cmd/chalkstand/serve.go
+++ b/cmd/chalkstand/serve.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -19,6 +17,7 @@
 	"chalkstand/dispatch"
 	"chalkstand/gateway"
 	"chalkstand/internal/settings"
+	"chalkstand/internal/signals"
 	"chalkstand/trace"
 )
 
@@ -40,10 +39,12 @@
 	}
 }
 
+const serveName = "serve"
+
 func serveCommand() *cobra.Command {
 	var file string
 	c := &cobra.Command{
-		Use:   "serve",
+		Use:   serveName,
 		Short: "Run a gateway",
 		Args:  cobra.NoArgs,
 		Long: `Run a gateway until SIGTERM or SIGINT, which start a graceful shutdown.
@@ -154,9 +155,8 @@
 
 // run serves until the gateway fails, or a signal ends it.
 func (d *daemon) run(ctx context.Context) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	received := signals.Listen()
+	defer received.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	served := make(chan error, 1)
@@ -169,12 +169,10 @@
 		select {
 		case err := <-served:
 			return err
-		case received := <-signals:
-			if received == syscall.SIGHUP {
-				d.reload()
-				continue
-			}
-			d.shutdown(received)
+		case <-received.Reload:
+			d.reload()
+		case stop := <-received.Stop:
+			d.shutdown(stop)
 			cancel()
 			return <-served
 		}
--- a/layering_test.go
+++ b/layering_test.go
@@ -50,6 +50,7 @@
 	"internal/discovery":      ioLayer,
 	"internal/eventloop":      ioLayer,
 	"internal/settings":       ioLayer,
+	"internal/signals":        ioLayer,
 	"trace":                   ioLayer,
 
 	"fake/discovery":             servers,
