serve, run: a signal during start-up is kept and does not end the process

Callers saw: SIGHUP shortly after the start ended serve and run; SIGTERM dropped connections accepted by the kernel. Cause: signals were registered last, after the settings were read and the listener was open.

--- a/cmd/chalkstand/main.go
+++ b/cmd/chalkstand/main.go
@@ -9,6 +9,8 @@
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
+
+	"chalkstand/internal/signals"
 )
 
 func main() {
@@ -31,6 +33,11 @@
 runs a gateway on 127.0.0.1:9000 with fake nodes inside the process.`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		PersistentPreRun: func(cmd *cobra.Command, _ []string) {
+			if !isServer(cmd) {
+				signals.Release()
+			}
+		},
 	}
 	c.AddCommand(
 		serveCommand(),
@@ -50,6 +57,9 @@
 	return c
 }
 
+// isServer reports whether a command handles the signals of a server process itself.
+func isServer(c *cobra.Command) bool { return c.Name() == serveName || c.Name() == runName }
+
 func versionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "version",
--- a/cmd/chalkstand/run.go
+++ b/cmd/chalkstand/run.go
@@ -46,6 +46,8 @@
 
 // runServer serves with the configuration of a file until a graceful shutdown is complete.
 func runServer(file, level string) error {
+	received := signals.Listen()
+	defer received.Close()
 	cfg, err := respserver.LoadConfig(file)
 	if err != nil {
 		return err
@@ -61,8 +63,6 @@
 	if err != nil {
 		return err
 	}
-	received := signals.Listen()
-	defer received.Close()
 	stopped := make(chan struct{})
 	defer close(stopped)
 	go handleSignals(received, stopped, server, file, log)
--- a/cmd/chalkstand/serve.go
+++ b/cmd/chalkstand/serve.go
@@ -72,6 +72,8 @@
 
 // serve runs a gateway until a signal ends it.
 func serve(ctx context.Context, file string) error {
+	received := signals.Listen()
+	defer received.Close()
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
@@ -86,7 +88,7 @@
 	if err := d.start(); err != nil {
 		return err
 	}
-	return d.run(ctx)
+	return d.run(ctx, received)
 }
 
 // daemon is a gateway process.
@@ -154,9 +156,7 @@
 }
 
 // run serves until the gateway fails, or a signal ends it.
-func (d *daemon) run(ctx context.Context) error {
-	received := signals.Listen()
-	defer received.Close()
+func (d *daemon) run(ctx context.Context, received *signals.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	served := make(chan error, 1)
--- a/cmd/chalkstand/signals_test.go
+++ b/cmd/chalkstand/signals_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	fakediscovery "chalkstand/fake/discovery"
+	"chalkstand/internal/signals"
 )
 
 // mainEnv makes the test program run the command line as chalkstand does.
@@ -25,6 +26,7 @@
 		main()
 		return
 	}
+	signals.Release()
 	os.Exit(m.Run())
 }
 
@@ -143,6 +145,28 @@
 // signalGap keeps two signals of one kind apart, which the kernel would deliver as one.
 const signalGap = 2 * time.Millisecond
 
+// A signal that comes while the settings are read is not lost and does not end the process by its default
+// action: SIGHUP leaves it running, SIGTERM shuts it down gracefully.
+func TestSignalsDuringStartUp(t *testing.T) {
+	for command, text := range serverSettings(t) {
+		t.Run(command, func(t *testing.T) {
+			settings := newPipeFile(t, filepath.Join(t.TempDir(), "settings"), text)
+			p := startProcess(t, command, "--config", settings.path)
+			answer := settings.awaitReader(t)
+			for range 3 {
+				p.signal(t, syscall.SIGHUP)
+				time.Sleep(signalGap)
+			}
+			p.signal(t, syscall.SIGTERM)
+			answer()
+			p.expectEnd(t)
+			if !strings.Contains(p.stderr.String(), "graceful shutdown started") {
+				t.Errorf("no graceful shutdown\n%s", p.stderr.String())
+			}
+		})
+	}
+}
+
 // SIGTERM is not lost behind a series of SIGHUP that come while a reload is under way.
 func TestStopBehindASeriesOfReloads(t *testing.T) {
 	for command, text := range serverSettings(t) {
