eventloop: a dial closes its socket where the loop has ended; PostOrDrop

Callers saw: a descriptor leaked for each dial that was under way when a gateway was closed. Cause: Post drops a call after the loop's end, and what the call owned went with it. Why it works: PostOrDrop calls exactly one of two functions, and the loop drops what still waits when it ends. A loop that closes takes no connection or listener any more (ErrEnded), and Listen returns a handle that can be closed.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -46,7 +46,10 @@
 		_ = ln.Close() // fd is a duplicate
 		first := g.workers[0]
 		listening := make(chan error, 1)
-		first.loop.Post(func() { listening <- first.loop.Listen(fd, first.newcomers.flow, g.accept) })
+		first.loop.Post(func() {
+			_, err := first.loop.Listen(fd, first.newcomers.flow, g.accept)
+			listening <- err
+		})
 		if err := <-listening; err != nil {
 			return fmt.Errorf("gateway: listener: %w", err)
 		}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -45,8 +45,13 @@
 	peerClosed      bool // an end of file is to be read behind the bytes
 }
 
-// Add puts a connected, non-blocking socket on the loop, which takes it over. On the loop only.
+// Add puts a connected, non-blocking socket on the loop, which takes it over. The error is
+// ErrEnded, or that of a system call; fd is closed then. On the loop only.
 func (l *Loop) Add(fd int, h Handler) (*Conn, error) {
+	if l.ended {
+		closeFD(fd)
+		return nil, ErrEnded
+	}
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // fails on Unix sockets, which need it not
 	c := &Conn{Handler: h, loop: l, fd: fd, flow: l.defaultFlow}
 	if err := watch(l.epollFD, fd, connInterest); err != nil {
--- a/internal/eventloop/dialer.go
+++ b/internal/eventloop/dialer.go
@@ -54,11 +54,16 @@
 }
 
 // Dial connects in the background, within timeout, and calls done on the loop with the socket
-// or an error. It resolves host names, which Connect does not.
+// or an error. Where the loop ends first, the socket is closed and done is not called. It resolves
+// host names, which Connect does not.
 func (l *Loop) Dial(addr string, timeout time.Duration, done func(fd int, err error)) {
 	go func() {
 		fd, err := dial(addr, timeout)
-		l.Post(func() { done(fd, err) })
+		l.PostOrDrop(func() { done(fd, err) }, func() {
+			if err == nil {
+				closeFD(fd)
+			}
+		})
 	}()
 }
 
@@ -82,9 +87,13 @@
 	}
 	defer func() { _ = f.Close() }() // the duplicate lives on
 	fd, err := unix.FcntlInt(f.Fd(), unix.F_DUPFD_CLOEXEC, 0)
+	runtime.KeepAlive(f)
 	if err != nil {
 		return -1, os.NewSyscallError("dup", err)
 	}
-	runtime.KeepAlive(f)
-	return fd, unix.SetNonblock(fd, true)
+	if err := unix.SetNonblock(fd, true); err != nil {
+		closeFD(fd)
+		return -1, os.NewSyscallError("setnonblock", err)
+	}
+	return fd, nil
 }
--- a/internal/eventloop/kit_test.go
+++ b/internal/eventloop/kit_test.go
@@ -55,7 +55,7 @@
 		}
 	}
 	l.Post(func() {
-		if err := l.Listen(fd, l.Flow("(new)", fairshare.FlowConfig{}, nil), accept); err != nil {
+		if _, err := l.Listen(fd, l.Flow("(new)", fairshare.FlowConfig{}, nil), accept); err != nil {
 			t.Error(err)
 		}
 	})
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -44,6 +44,9 @@
 	return nil
 }
 
+// ErrEnded means that a loop has ended, so that nothing can be put on it.
+var ErrEnded = errors.New("eventloop: the loop has ended")
+
 // Loop is one event loop.
 type Loop struct {
 	Index int
@@ -61,6 +64,7 @@
 	deferred   []func()
 	timer      timer
 	stopping   bool // on the loop
+	ended      bool // on the loop: it closes what it holds
 
 	scheduler   *fairshare.Scheduler[*Conn]
 	defaultFlow *Flow // of connections to which none was assigned
@@ -68,8 +72,8 @@
 	history     history
 
 	mu      sync.Mutex
-	posted  []func()
-	spare   []func() // a buffer for posted; on the loop it needs no lock
+	posted  []postedCall
+	spare   []postedCall // a buffer for posted; on the loop it needs no lock
 	stopped bool     // nothing may wake the loop any more
 
 	done      chan struct{} // closed when Run returns
@@ -151,25 +155,36 @@
 	l.closeAll()
 	// A function posted from here on would never run, and a wake-up would go to a descriptor
 	// that may be another file's by then.
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.stopped = true
-	l.posted = nil
-	return errors.Join(err, unix.Close(l.epollFD), unix.Close(l.wakeFD))
+	l.dropPosted()
+	return errors.Join(err, l.closePoller())
 }
 
-// closeAll ends connections, tasks and listening sockets.
+// closeAll ends connections, tasks and listening sockets. Nothing can be put on the loop any more.
 func (l *Loop) closeAll() {
+	l.ended = true
 	for _, c := range l.conns {
 		c.close(nil)
 	}
 	l.runDeferred()
 	l.stopTasks()
-	for fd := range l.listeners {
-		closeFD(fd)
+	for _, c := range l.listeners {
+		c.closeListener()
 	}
 }
 
+// closePoller closes the loop's own descriptors.
+func (l *Loop) closePoller() error {
+	return errors.Join(unix.Close(l.epollFD), unix.Close(l.wakeFD))
+}
+
+// Close closes a loop on which Run was not called, and what was put on it. A loop that runs is
+// ended by Stop.
+func (l *Loop) Close() error {
+	l.closeAll()
+	l.dropPosted()
+	return l.closePoller()
+}
+
 // Stop ends the loop, closing its connections, and waits for it.
 func (l *Loop) Stop() {
 	l.Post(func() { l.stopping = true })
--- a/internal/eventloop/tasks.go
+++ b/internal/eventloop/tasks.go
@@ -8,19 +8,39 @@
 	"golang.org/x/sys/unix"
 )
 
+// postedCall is a function that waits to be run on the loop.
+type postedCall struct {
+	run  func()
+	drop func() // called in the place of run where the loop ends first; may be nil
+}
+
 // Post runs f on the loop, after what was posted before. It may be called from any goroutine.
-// After the loop's end it does nothing.
-func (l *Loop) Post(f func()) {
+// Where the loop has ended, or ends before it is f's turn, f is dropped: whoever waits for f, or has
+// given it something to own, uses PostOrDrop.
+func (l *Loop) Post(f func()) { l.PostOrDrop(f, nil) }
+
+// PostOrDrop calls exactly one of two functions: run on the loop, as Post does, or drop where the
+// loop has ended or ends before. drop is called on the caller's goroutine or on the loop's. It may
+// be called from any goroutine.
+func (l *Loop) PostOrDrop(run, drop func()) {
+	if !l.enqueue(postedCall{run, drop}) && drop != nil {
+		drop()
+	}
+}
+
+// enqueue appends a call to those that wait, and reports whether the loop has not ended.
+func (l *Loop) enqueue(call postedCall) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.stopped {
-		return
+		return false
 	}
-	l.posted = append(l.posted, f)
+	l.posted = append(l.posted, call)
 	if len(l.posted) == 1 {
 		// It fails only where the counter would overflow, and then the loop is about to wake.
 		_, _ = unix.Write(l.wakeFD, wakeIncrement)
 	}
+	return true
 }
 
 // wakeIncrement is what Post adds to the eventfd's counter.
@@ -34,9 +54,9 @@
 	posted := l.posted
 	l.posted = l.spare[:0]
 	l.mu.Unlock()
-	for i, f := range posted {
-		f()
-		posted[i] = nil
+	for i, call := range posted {
+		call.run()
+		posted[i] = postedCall{}
 		l.runDeferred()
 	}
 	l.mu.Lock()
@@ -45,6 +65,20 @@
 	l.now = l.clock() // the time that these took is charged to no flow
 }
 
+// dropPosted ends the acceptance of posted calls and drops those that wait.
+func (l *Loop) dropPosted() {
+	l.mu.Lock()
+	posted := l.posted
+	l.stopped = true
+	l.posted = nil
+	l.mu.Unlock()
+	for _, call := range posted {
+		if call.drop != nil {
+			call.drop()
+		}
+	}
+}
+
 // Defer runs f on the loop after the present event. On the loop only.
 func (l *Loop) Defer(f func()) { l.deferred = append(l.deferred, f) }
 
--- a/respserver/server.go
+++ b/respserver/server.go
@@ -109,7 +109,7 @@
 	s.flows.clients = s.loop.Flow("clients", fairshare.FlowConfig{Weight: clientsFlowWeight}, nil)
 	s.flows.nodes = s.loop.Flow("nodes", fairshare.FlowConfig{Weight: nodesFlowWeight}, nil)
 	if err := s.listen(); err != nil {
-		return nil, err
+		return nil, errors.Join(err, s.loop.Close())
 	}
 	s.loop.SetTimer(s.nextTimer, s.onTimer)
 	return s, nil
@@ -126,7 +126,8 @@
 	if err := errors.Join(err, ln.Close()); err != nil {
 		return err
 	}
-	return s.loop.Listen(fd, s.flows.newConns, s.accept)
+	_, err = s.loop.Listen(fd, s.flows.newConns, s.accept)
+	return err
 }
 
 // Run serves until a graceful shutdown is complete.
