gateway: Serve returns where the gateway is closed before or while it starts

Callers saw: Serve never returned where Close came first or met its start. Cause: Serve waited for a call posted to a loop that had ended, which drops it. A connection accepted for another loop that had ended was left open the same way. Why it works: the call is posted with PostOrDrop, so that Serve learns of either outcome; accept closes what is dropped.

--- a/dispatch/cancelbudget_test.go
+++ b/dispatch/cancelbudget_test.go
@@ -4,7 +4,7 @@
 
 // Canceled attempts are retried: the dispatcher does not cancel more attempts than the retry
 // budget has room for, as the requests beyond it are rejected although their responses may
-// still come. See KNOWN-RED.txt.
+// still come.
 func TestCanceledAttemptsFitTheRetryBudget(t *testing.T) {
 	cfg := testConfig()
 	cfg.Classes[idempotentClass].LatencyObjective = 1000 * ms
--- /dev/null
+++ b/gateway/listen_test.go
@@ -0,0 +1,104 @@
+package gateway_test
+
+import (
+	"context"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"chalkstand/gateway"
+	kit "chalkstand/internal/testkit"
+)
+
+// serveLimit is how long Serve may take to return.
+const serveLimit = 10 * time.Second
+
+func newTestGateway(t *testing.T) *gateway.Gateway {
+	t.Helper()
+	s := kit.Settings(1)
+	s.Embedded = nil
+	s.Loops = 2
+	return kit.Must(gateway.New(s))(t)
+}
+
+// serveInBackground returns the listener's address and a channel with what Serve returned.
+func serveInBackground(ctx context.Context, t *testing.T, g *gateway.Gateway) (string, chan error) {
+	t.Helper()
+	ln := kit.Must(gateway.Listen("127.0.0.1:0"))(t)
+	addr := ln.Addr().String() // Serve takes the listener over
+	returned := make(chan error, 1)
+	go func() { returned <- g.Serve(ctx, ln) }()
+	return addr, returned
+}
+
+func expectReturn(t *testing.T, returned <-chan error) {
+	t.Helper()
+	select {
+	case err := <-returned:
+		if err != nil {
+			t.Errorf("Serve: %v", err)
+		}
+	case <-time.After(serveLimit):
+		t.Fatalf("Serve has not returned after %v", serveLimit)
+	}
+}
+
+// dialUntil opens connections to an address until the channel is closed.
+func dialUntil(ctx context.Context, addr string, ended <-chan struct{}) {
+	for {
+		select {
+		case <-ended:
+			return
+		default:
+		}
+		conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		_ = conn.SetDeadline(time.Now().Add(time.Millisecond))
+		_, _ = conn.Write([]byte("GET / HTTP/1.1\r\n"))
+		_ = conn.Close()
+	}
+}
+
+// Serve returns wherever Close meets its start, with clients that dial meanwhile, and no connection
+// that was accepted by then is left open.
+func TestServeReturnsWhereverCloseMeetsIt(t *testing.T) {
+	const rounds = 200
+	before := openDescriptors(t)
+	for round := range rounds {
+		g := newTestGateway(t)
+		addr, returned := serveInBackground(t.Context(), t, g)
+		ended := make(chan struct{})
+		clientEnded := make(chan struct{})
+		go func() {
+			defer close(clientEnded)
+			dialUntil(t.Context(), addr, ended)
+		}()
+		time.Sleep(time.Duration(round%10) * time.Millisecond)
+		if err := g.Close(); err != nil {
+			t.Fatal(err)
+		}
+		expectReturn(t, returned)
+		close(ended)
+		<-clientEnded
+	}
+	waitForDescriptors(t, before)
+}
+
+func openDescriptors(t *testing.T) int {
+	t.Helper()
+	return len(kit.Must(os.ReadDir("/proc/self/fd"))(t))
+}
+
+// waitForDescriptors waits until the process has no more descriptors than before.
+func waitForDescriptors(t *testing.T, before int) {
+	t.Helper()
+	for deadline := time.Now().Add(serveLimit); openDescriptors(t) > before; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d descriptors, %d before", openDescriptors(t), before)
+		}
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -38,20 +39,16 @@
 // Serve accepts clients on the listeners, which it takes over, until ctx ends or the gateway is
 // closed. It returns an error at once when a listener cannot be used.
 func (g *Gateway) Serve(ctx context.Context, listeners ...*net.TCPListener) error {
-	for _, ln := range listeners {
-		fd, err := eventloop.Detach(ln)
+	for i, ln := range listeners {
+		err := g.listen(ln)
 		if err != nil {
-			return fmt.Errorf("gateway: listener %v: %w", ln.Addr(), err)
+			closeListeners(listeners[i:])
 		}
-		_ = ln.Close() // fd is a duplicate
-		first := g.workers[0]
-		listening := make(chan error, 1)
-		first.loop.Post(func() {
-			_, err := first.loop.Listen(fd, first.newcomers.flow, g.accept)
-			listening <- err
-		})
-		if err := <-listening; err != nil {
-			return fmt.Errorf("gateway: listener: %w", err)
+		if errors.Is(err, eventloop.ErrEnded) {
+			return nil // the gateway is closed
+		}
+		if err != nil {
+			return fmt.Errorf("gateway: listener %v: %w", ln.Addr(), err)
 		}
 	}
 	select {
@@ -61,6 +58,34 @@
 	return nil
 }
 
+// listen has the first worker's loop accept clients on a listener. The error is
+// eventloop.ErrEnded where the gateway is closed.
+func (g *Gateway) listen(ln *net.TCPListener) error {
+	fd, err := eventloop.Detach(ln)
+	if err != nil {
+		return err
+	}
+	_ = ln.Close() // fd is a duplicate
+	first := g.workers[0]
+	listening := make(chan error, 1)
+	first.loop.PostOrDrop(func() {
+		_, err := first.loop.Listen(fd, first.newcomers.flow, g.accept)
+		listening <- err
+	}, func() {
+		_ = unix.Close(fd) // the loop has not taken it over
+		listening <- eventloop.ErrEnded
+	})
+	return <-listening
+}
+
+// closeListeners closes listeners that were not handed to a loop. Those that are closed already
+// return an error, which does not matter.
+func closeListeners(listeners []*net.TCPListener) {
+	for _, ln := range listeners {
+		_ = ln.Close()
+	}
+}
+
 // accept assigns a new connection to a worker, round robin. It runs on the first worker's loop.
 func (g *Gateway) accept(fd int, _ unix.Sockaddr) {
 	if int(g.clientConns.Load()) >= g.cfg.Limits.Conns || g.draining.Load() {
@@ -75,7 +100,10 @@
 	if w == g.workers[0] {
 		w.addClient(fd)
 	} else {
-		w.loop.Post(func() { w.addClient(fd) })
+		w.loop.PostOrDrop(func() { w.addClient(fd) }, func() {
+			_ = unix.Close(fd) // the gateway is being closed
+			g.clientConns.Add(-1)
+		})
 	}
 }
 
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -8,7 +8,7 @@
 	kit "chalkstand/internal/testkit"
 )
 
-// Serve returns where the gateway is closed before its listener is in use. See KNOWN-RED.txt.
+// Serve returns where the gateway is closed before its listener is in use.
 func TestServeReturnsAfterClose(t *testing.T) {
 	const limit = 5 * time.Second
 	s := kit.Settings(1)
