gateway: Serve closes its listeners when its context ends

Callers saw: after Serve had returned the listener still accepted and answered (403 to an unsigned request), against its doc comment. Cause: the end of the context was handled by returning alone; nobody closed the socket on its loop.

--- a/gateway/listen_test.go
+++ b/gateway/listen_test.go
@@ -88,6 +88,26 @@
 	waitForDescriptors(t, before)
 }
 
+// After Serve has returned because its context ended, its listener is closed. The gateway can serve
+// on another.
+func TestServeClosesItsListenerWithItsContext(t *testing.T) {
+	g := newTestGateway(t)
+	defer g.Close()
+	for range 2 {
+		ctx, cancel := context.WithCancel(t.Context())
+		addr, returned := serveInBackground(ctx, t, g)
+		if status := kit.Get(t, "http://"+addr+"/").Status; status != 403 {
+			t.Errorf("unsigned request: %d", status)
+		}
+		cancel()
+		expectReturn(t, returned)
+		if conn, err := net.Dial("tcp", addr); err == nil {
+			conn.Close()
+			t.Error("the listener still accepts")
+		}
+	}
+}
+
 func openDescriptors(t *testing.T) int {
 	t.Helper()
 	return len(kit.Must(os.ReadDir("/proc/self/fd"))(t))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,10 +37,13 @@
 }
 
 // Serve accepts clients on the listeners, which it takes over, until ctx ends or the gateway is
-// closed. It returns an error at once when a listener cannot be used.
+// closed; the listeners are closed when it returns. It returns an error at once when a listener
+// cannot be used.
 func (g *Gateway) Serve(ctx context.Context, listeners ...*net.TCPListener) error {
+	var opened []*eventloop.Listener
+	defer func() { g.stopListening(opened) }()
 	for i, ln := range listeners {
-		err := g.listen(ln)
+		l, err := g.listen(ln)
 		if err != nil {
 			closeListeners(listeners[i:])
 		}
@@ -50,6 +53,7 @@
 		if err != nil {
 			return fmt.Errorf("gateway: listener %v: %w", ln.Addr(), err)
 		}
+		opened = append(opened, l)
 	}
 	select {
 	case <-ctx.Done():
@@ -60,22 +64,39 @@
 
 // listen has the first worker's loop accept clients on a listener. The error is
 // eventloop.ErrEnded where the gateway is closed.
-func (g *Gateway) listen(ln *net.TCPListener) error {
+func (g *Gateway) listen(ln *net.TCPListener) (*eventloop.Listener, error) {
+	type result struct {
+		listener *eventloop.Listener
+		err      error
+	}
 	fd, err := eventloop.Detach(ln)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	_ = ln.Close() // fd is a duplicate
 	first := g.workers[0]
-	listening := make(chan error, 1)
+	listening := make(chan result, 1)
 	first.loop.PostOrDrop(func() {
-		_, err := first.loop.Listen(fd, first.newcomers.flow, g.accept)
-		listening <- err
+		l, err := first.loop.Listen(fd, first.newcomers.flow, g.accept)
+		listening <- result{l, err}
 	}, func() {
 		_ = unix.Close(fd) // the loop has not taken it over
-		listening <- eventloop.ErrEnded
+		listening <- result{err: eventloop.ErrEnded}
 	})
-	return <-listening
+	r := <-listening
+	return r.listener, r.err
+}
+
+// stopListening closes listeners of the first worker's loop and waits until they are closed.
+func (g *Gateway) stopListening(opened []*eventloop.Listener) {
+	closed := make(chan struct{})
+	g.workers[0].loop.PostOrDrop(func() {
+		for _, l := range opened {
+			l.Close()
+		}
+		close(closed)
+	}, func() { close(closed) }) // the loop has closed them
+	<-closed
 }
 
 // closeListeners closes listeners that were not handed to a loop. Those that are closed already
