storagenode: a key written again after its window does not panic

Callers saw: a keyed write without a response, and a node that hung from then on (the panic left its lock held). Cause: the list of keys in order of expiry and the map of entries disagreed once a key was written again after its window: it stood twice in the list, and the second expiry found no entry.

--- a/fake/storagenode/dataset.go
+++ b/fake/storagenode/dataset.go
@@ -19,7 +19,7 @@
 	buckets    map[string]*bucket
 	uploads    map[string]*upload // by ID
 	dedup      map[string]*dedupEntry
-	dedupOrder []string // keys in the order in which they expire
+	dedupOrder []*dedupEntry // in the order in which they expire
 	nextID     uint64
 	journal    *os.File // nil: nothing outlasts the process
 }
--- a/fake/storagenode/dedup.go
+++ b/fake/storagenode/dedup.go
@@ -10,6 +10,7 @@
 
 // dedupEntry remembers a keyed write, so that repeats of it are not executed.
 type dedupEntry struct {
+	key      string
 	until    time.Time     // zero while the write is running
 	done     chan struct{} // closed when response is set
 	response response
@@ -35,7 +36,7 @@
 	}
 	n.recordExecution(r, e)
 	entry.response = n.data.run(op, r)
-	n.data.finishKeyed(key, entry, now, n.cfg.DedupWindow)
+	n.data.finishKeyed(entry, now, n.cfg.DedupWindow)
 	return entry.response
 }
 
@@ -47,19 +48,22 @@
 	if entry != nil && (entry.until.IsZero() || now.Before(entry.until)) {
 		return entry, false
 	}
-	entry = &dedupEntry{done: make(chan struct{})}
+	entry = &dedupEntry{key: key, done: make(chan struct{})}
 	d.dedup[key] = entry
 	return entry, true
 }
 
 // finishKeyed ends a keyed write that was started at a time, and forgets the entries that had
 // expired then.
-func (d *Dataset) finishKeyed(key string, entry *dedupEntry, started time.Time, window time.Duration) {
+func (d *Dataset) finishKeyed(entry *dedupEntry, started time.Time, window time.Duration) {
 	d.mu.Lock()
 	entry.until = time.Now().Add(window)
-	d.dedupOrder = append(d.dedupOrder, key)
-	for len(d.dedupOrder) > 0 && started.After(d.dedup[d.dedupOrder[0]].until) {
-		delete(d.dedup, d.dedupOrder[0])
+	d.dedupOrder = append(d.dedupOrder, entry)
+	for len(d.dedupOrder) > 0 && started.After(d.dedupOrder[0].until) {
+		expired := d.dedupOrder[0]
+		if d.dedup[expired.key] == expired { // not replaced by a later write of its key
+			delete(d.dedup, expired.key)
+		}
 		d.dedupOrder = d.dedupOrder[1:]
 	}
 	d.mu.Unlock()
