settings: an empty key is rejected and a repeated one, too

Callers saw: {"": {}} in the settings file panicked in serve and check-config, and ended a running gateway on SIGHUP (exit status 2, tried with the build before). Cause: findUnknownMember took the empty path for nothing to report, and decode relies on what it let pass; an empty key also matched a field without a tag. Evidence: TestEmptyKeyIsRejected and TestAmbiguousMembersAreRejected failed before. A member that is there twice was taken without an error, the last one winning; it is rejected now, with its line.

--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -8,7 +8,8 @@
 	"github.com/tailscale/hujson"
 )
 
-// findUnknown returns an error for the first member of the tree that t has no field for.
+// findUnknown returns an error for the first member of the tree that t has no field for, or that its
+// object has twice.
 func findUnknown(v *hujson.Value, t reflect.Type, field string) *decodeError {
 	if t.Kind() == reflect.Pointer {
 		t = t.Elem()
@@ -36,18 +37,21 @@
 }
 
 func findUnknownMember(object *hujson.Object, t reflect.Type, field string) *decodeError {
+	seen := make(map[string]bool, len(object.Members))
 	for i := range object.Members {
 		m := &object.Members[i]
 		name := memberName(m)
 		path := memberPath(field, name)
-		if path == "" {
-			return nil // BUG: an empty key at the top level is not reported, and decode panics on it.
-		}
 		index, ok := fieldIndex(t, name)
 		if !ok {
 			problem := ConfigError{Field: path, Problem: "there is no such setting"}
 			return &decodeError{problem, m.Name.StartOffset}
 		}
+		if seen[name] {
+			problem := ConfigError{Field: path, Problem: "it is set twice"}
+			return &decodeError{problem, m.Name.StartOffset}
+		}
+		seen[name] = true
 		if err := findUnknown(&m.Value, t.Field(index).Type, path); err != nil {
 			return err
 		}
@@ -152,8 +156,11 @@
 	return m.Name.Value.(hujson.Literal).String()
 }
 
-// memberPath returns the path of a member of the object at field.
+// memberPath returns the path of a member of the object at field. An empty name is shown in quotes.
 func memberPath(field, name string) string {
+	if name == "" {
+		name = `""`
+	}
 	if field == "" {
 		return name
 	}
@@ -167,6 +174,9 @@
 
 // fieldIndex returns the index of the struct field that a settings key names.
 func fieldIndex(t reflect.Type, key string) (int, bool) {
+	if key == "" { // which a field without a tag would match
+		return 0, false
+	}
 	for i := range t.NumField() {
 		if t.Field(i).Tag.Get("json") == key {
 			return i, true
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -137,7 +137,26 @@
 	})
 }
 
-// A key that is empty is an unknown member, not a panic. See KNOWN-RED.txt.
+// A member that is empty or there twice is reported with its line; the value that was meant is unknown.
+func TestAmbiguousMembersAreRejected(t *testing.T) {
+	for _, test := range []struct {
+		text, field string
+		line        int
+	}{
+		{"{\n\"\": {}}", `""`, 2},
+		{"{\"rules\": {\n\n\"\": 1}}", `rules.""`, 3},
+		{"{\"name\": \"a\",\n\"name\": \"b\"}", "name", 2},
+		{"{\"limits\": {\"line\": 1,\n\"line\": 2}}", "limits.line", 2},
+	} {
+		_, err := Parse("test", []byte(test.text))
+		var configErr *ConfigError
+		if !errors.As(err, &configErr) || configErr.Field != test.field || configErr.Line != test.line {
+			t.Errorf("%s: %v, want an error of %s in line %d", test.text, err, test.field, test.line)
+		}
+	}
+}
+
+// A key that is empty is an unknown member, not a panic.
 func TestEmptyKeyIsRejected(t *testing.T) {
 	defer func() {
 		if r := recover(); r != nil {
