storagenode, gateway: an object that cannot be read is an internal error

Callers saw: 503 SlowDown with Retry-After for ever on an idle gateway, and nothing in the log; a write that the disk refused was 400 IncompleteBody. Cause: the node opened the body behind the head and reset the connection on errors; the gateway told every rejection as SlowDown, also behind an internal error of the node. Why it works: the node opens the body first, answers 500 and logs the file; the gateway answers 500 where the node's last response was an internal error.

--- a/cmd/chalkstand/embedded.go
+++ b/cmd/chalkstand/embedded.go
@@ -70,6 +70,7 @@
 		ReportEvery: embeddedReportEvery,
 		DedupWindow: embeddedDedupWindow,
 		DiscardLog:  true,
+		Logger:      e.log.With(zap.Int("shard", shard)),
 		Timing:      true,
 	}
 	n, err := storagenode.Start("127.0.0.1:0", cfg, data, ledger, epoch)
--- a/cmd/chalkstand/node.go
+++ b/cmd/chalkstand/node.go
@@ -24,6 +24,9 @@
 	linkMiB   float64 // a second; 0: unlimited
 }
 
+// nodeLogLevel is the level from which a node logs.
+const nodeLogLevel = "info"
+
 func nodeCommand() *cobra.Command {
 	o := &nodeOptions{config: storagenode.Config{DiscardLog: true}}
 	c := &cobra.Command{
@@ -77,6 +80,9 @@
 // run serves until a signal, or until the script stops the node.
 func (o *nodeOptions) run(ctx context.Context, out io.Writer) (err error) {
 	o.config.Link = o.linkMiB * (1 << 20)
+	if o.config.Logger, err = newLogger(nodeLogLevel); err != nil {
+		return err
+	}
 	data := storagenode.NewDataset("")
 	if o.dir != "" {
 		if data, err = storagenode.OpenDataset(o.dir); err != nil {
--- a/fake/storagenode/config.go
+++ b/fake/storagenode/config.go
@@ -1,6 +1,10 @@
 package storagenode
 
-import "time"
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
 
 // Config describes a node. With zero values it has no limits and responds at once.
 type Config struct {
@@ -39,7 +43,8 @@
 	TimingLossRate float64
 
 	DedupWindow time.Duration // how long writes with the same key are deduplicated
-	DiscardLog  bool          // keep no log, for nodes that run for long
+	DiscardLog  bool          // keep no log of requests, for nodes that run for long
+	Logger      *zap.Logger   // of errors of the node itself; nil: none
 	Seed        uint64
 
 	Link       float64 // rate at which all responses together are sent, bytes a second; 0: no limit
--- a/fake/storagenode/dataset.go
+++ b/fake/storagenode/dataset.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"chalkstand/internal/objectapi"
 )
 
@@ -16,6 +18,7 @@
 	dir string // of blobs; "" keeps them in memory
 
 	mu         sync.Mutex
+	logger     *zap.Logger // of the node that started last
 	buckets    map[string]*bucket
 	uploads    map[string]*upload // by ID
 	dedup      map[string]*dedupEntry
@@ -67,12 +70,29 @@
 func NewDataset(dir string) *Dataset {
 	return &Dataset{
 		dir:     dir,
+		logger:  zap.NewNop(),
 		buckets: map[string]*bucket{},
 		uploads: map[string]*upload{},
 		dedup:   map[string]*dedupEntry{},
 	}
 }
 
+func (d *Dataset) setLogger(logger *zap.Logger) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.logger = logger
+}
+
+// internalError logs that an object's bytes cannot be read or written and returns the error for the client,
+// which does not name the file.
+func (d *Dataset) internalError(object string, err error) *objectapi.Error {
+	d.mu.Lock()
+	logger := d.logger
+	d.mu.Unlock()
+	logger.Error("object data unavailable", zap.String("object", object), zap.Error(err))
+	return objectapi.NewError(objectapi.CodeInternalError, "We encountered an internal error.")
+}
+
 func errNoSuchKey() *objectapi.Error {
 	return objectapi.NewError("NoSuchKey", "The specified key does not exist.")
 }
--- a/fake/storagenode/multipart.go
+++ b/fake/storagenode/multipart.go
@@ -120,12 +120,12 @@
 	}
 	body, openErr := src.blob.open(br.offset, br.length)
 	if openErr != nil {
-		return response{}, objectapi.NewError("InternalError", openErr.Error())
+		return response{}, d.internalError(r.Header.Get(headerCopySource), openErr)
 	}
 	defer func() { _ = body.Close() }() // it was only read
 	got, receiveErr := d.receive(body, br.length, "")
 	if receiveErr != nil {
-		return response{}, objectapi.NewError("InternalError", receiveErr.Error())
+		return response{}, d.internalError(r.Header.Get(headerCopySource), receiveErr)
 	}
 	part := &object{blob: got.blob, etag: got.md5, modified: modified, header: src.header, parts: src.parts}
 	res := objectapi.CopyPartResult{LastModified: objectapi.FormatTime(modified), ETag: quoted(part.etag)}
--- a/fake/storagenode/node.go
+++ b/fake/storagenode/node.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // readHeaderTimeout bounds how long a client may take to send a request's headers.
@@ -53,6 +55,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("node %s: %w", cfg.ID, err)
 	}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	data.setLogger(cfg.Logger)
 	if cfg.Speed == 0 {
 		cfg.Speed = 1
 	}
--- a/fake/storagenode/objects.go
+++ b/fake/storagenode/objects.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/base64"
 	"encoding/hex"
+	"errors"
 	"io"
+	"io/fs"
 	"net/http"
 	"slices"
 	"strconv"
@@ -84,6 +86,10 @@
 func (d *Dataset) putBody(o objectapi.Operation, r *http.Request) (response, *objectapi.Error) {
 	name := checksumHeader(r)
 	got, err := d.receive(r.Body, r.ContentLength, name)
+	var fileErr *fs.PathError
+	if errors.As(err, &fileErr) { // the node's own files, not the client's body
+		return response{}, d.internalError(r.URL.Path, err)
+	}
 	if err != nil {
 		return response{}, errIncompleteBody()
 	}
--- a/fake/storagenode/serve.go
+++ b/fake/storagenode/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -39,7 +40,8 @@
 		n.reject(w, e)
 		return
 	}
-	resp := n.execute(op, r, e)
+	resp := n.openBody(r, n.execute(op, r, e))
+	defer resp.close()
 	if f.kind() == LoseResponse {
 		n.stall(r, f)
 		resetConnection(w)
@@ -100,15 +102,10 @@
 	if r.Method == http.MethodHead || length == 0 {
 		return
 	}
-	body, err := resp.open()
-	if err != nil {
-		resetConnection(w)
-		return
-	}
-	defer func() { _ = body.Close() }() // it was only read
+	body := &bodyReader{Reader: resp.content()}
 	kind := f.kind()
 	if kind != TruncateResponse && kind != StallInResponse {
-		_, _ = io.Copy(w, body)
+		n.copyBody(w, r, body, length)
 		return
 	}
 	_, _ = io.CopyN(w, body, length/2)
@@ -119,18 +116,62 @@
 	}
 	n.stall(r, f)
 	if !n.canceled(r) {
-		_, _ = io.Copy(w, body)
+		n.copyBody(w, r, body, length)
 	}
 }
 
+// copyBody sends a body to its end, which is length bytes from its beginning. If it cannot be read to there,
+// the connection is reset, so that the client sees the response as incomplete.
+func (n *Node) copyBody(w http.ResponseWriter, r *http.Request, body *bodyReader, length int64) {
+	_, err := io.Copy(w, body)
+	if body.err == nil && err == nil && body.read < length {
+		body.err = io.ErrUnexpectedEOF
+	}
+	if body.err != nil {
+		_ = n.data.internalError(r.URL.Path, body.err) // the client has the response's headers
+		resetConnection(w)
+	}
+}
+
+// bodyReader tells errors of reading a body from those of sending it.
+type bodyReader struct {
+	io.Reader
+	read int64 // bytes
+	err  error // of reading
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.read += int64(n)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.err = err
+	}
+	return n, err
+}
+
+// openBody opens the body of a response. If that fails, it returns an internal error in its place.
+func (n *Node) openBody(r *http.Request, resp response) response {
+	if resp.blob == nil || r.Method == http.MethodHead || resp.length == 0 {
+		return resp
+	}
+	opened, err := resp.blob.open(resp.offset, resp.length)
+	if err != nil {
+		return errorResponse(n.data.internalError(r.URL.Path, err), r.URL.Path)
+	}
+	resp.opened = opened
+	return resp
+}
+
 // response is a response of the object API: a document, or a part of a blob.
 type response struct {
 	status int
 	header map[string]string
 	body   []byte // if blob is nil
 	blob   *blob
-	offset int64 // in blob
-	length int64 // of the part of blob
+	offset int64         // in blob
+	length int64         // of the part of blob
+	opened io.ReadCloser // the part of blob; nil before it is opened
 }
 
 func xmlResponse(v any) response {
@@ -156,9 +197,17 @@
 	return int64(len(p.body))
 }
 
-func (p *response) open() (io.ReadCloser, error) {
-	if p.blob != nil {
-		return p.blob.open(p.offset, p.length)
+// content returns the reader of an opened body.
+func (p *response) content() io.Reader {
+	if p.opened != nil {
+		return p.opened
+	}
+	return bytes.NewReader(p.body)
+}
+
+// close closes the body. It was only read, so that an error does not matter.
+func (p *response) close() {
+	if p.opened != nil {
+		_ = p.opened.Close()
 	}
-	return io.NopCloser(bytes.NewReader(p.body)), nil
 }
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -40,6 +40,7 @@
 		w.dial(a)
 	case forwarder.SendRequest:
 		if n, r := w.conns[a.Conn], w.requests[a.ID]; n != nil && r != nil {
+			r.nodeFailed = false
 			n.send(r, a)
 		}
 	case forwarder.CloseConn:
@@ -53,11 +54,10 @@
 		w.requestAttributed(a)
 	case forwarder.DiscardResponse:
 		if n := w.conns[a.Conn]; n != nil {
-			n.takeResult()
+			w.discardResponse(w.requests[a.ID], n.takeResult())
 		}
 	case forwarder.Reject:
-		w.gateway.metrics.rejected.Inc()
-		w.completeRequest(a.ID, nodeResult{kind: resultRejected, retryAfter: a.RetryAfter})
+		w.rejectRequest(a)
 	case forwarder.Fail:
 		w.gateway.metrics.failed.Inc()
 		w.completeRequest(a.ID, nodeResult{kind: resultFailed, timedOut: a.TimedOut})
@@ -67,6 +67,26 @@
 	}
 }
 
+// discardResponse notes of a response that is not for the client whether the node failed. The request is
+// nil where it is over.
+func (w *loopWorker) discardResponse(r *nodeRequest, result nodeResult) {
+	if r != nil && result.resp != nil {
+		r.nodeFailed = resultOfStatus(result.resp.Status) == dispatch.ServerError
+	}
+}
+
+// rejectRequest completes a request that has no further attempt. After an internal error of its node it
+// fails: a rejection would tell the client that a later retry helps.
+func (w *loopWorker) rejectRequest(a forwarder.Reject) {
+	if r := w.requests[a.ID]; r != nil && r.nodeFailed {
+		w.gateway.metrics.failed.Inc()
+		w.completeRequest(a.ID, nodeResult{kind: resultFailed})
+		return
+	}
+	w.gateway.metrics.rejected.Inc()
+	w.completeRequest(a.ID, nodeResult{kind: resultRejected, retryAfter: a.RetryAfter})
+}
+
 func (w *loopWorker) forwardResponse(a forwarder.ForwardResponse) {
 	r := w.remove(a.ID)
 	if r == nil {
--- a/gateway/noderequest.go
+++ b/gateway/noderequest.go
@@ -14,6 +14,7 @@
 	worker      *loopWorker  // nil until it is started
 	id          dispatch.RequestID
 	completed   bool // it has its result or was canceled
+	nodeFailed  bool // the last attempt's response was an internal error of the node
 	method      string
 	head        []byte       // request line and headers, without the header that names the attempt
 	body        []byte       // buffered, for a further attempt
--- a/internal/e2e/nodefault_test.go
+++ b/internal/e2e/nodefault_test.go
@@ -164,3 +164,20 @@
 		}
 	}
 }
+
+// A read that its node keeps failing is answered as an internal error. A rejection would promise that a retry
+// helps, although no load is the cause.
+func TestReadThatItsNodeFailsIsAnInternalError(t *testing.T) {
+	site := kit.Start(t, kit.Settings(1), nil)
+	createBucket(t, site, "photos").put(t, "k", []byte("0123456789"))
+	site.Nodes[0].Inject(storagenode.Fault{Kind: storagenode.ServerError})
+	for range 6 {
+		resp := site.Do(http.MethodGet, "/photos/k", nil, nil)
+		if resp.Status != http.StatusInternalServerError || resp.Header.Get("Retry-After") != "" {
+			t.Errorf("%v, Retry-After %q", resp, resp.Header.Get("Retry-After"))
+		}
+	}
+	site.Nodes[0].ClearFaults()
+	resp := site.Do(http.MethodGet, "/photos/k", nil, nil)
+	kit.CheckEqual(t, "after the fault", resp.Body, []byte("0123456789"))
+}
