storagenode: a data directory that was moved serves its objects

Callers saw: after a move or copy of the directory every read of an object failed. Why it works: files are looked for in the directory that is opened.

--- a/fake/storagenode/journal.go
+++ b/fake/storagenode/journal.go
@@ -69,9 +69,15 @@
 	}
 }
 
-func (r *objectRecord) object() *object {
+// object returns the object of a record. Its files are looked for in dir, whatever directory the
+// record names: that is where they were when it was written, and the directory may have been moved.
+func (r *objectRecord) object(dir string) *object {
+	var files []string
+	for _, name := range r.Files {
+		files = append(files, filepath.Join(dir, filepath.Base(name)))
+	}
 	return &object{
-		blob:     blob{files: r.Files, sizes: r.Sizes, size: r.Size},
+		blob:     blob{files: files, sizes: r.Sizes, size: r.Size},
 		etag:     r.ETag,
 		modified: r.Modified,
 		header:   r.Header,
@@ -173,7 +179,7 @@
 	case entryDeleteBucket:
 		delete(d.buckets, c.Bucket)
 	case entryPut:
-		b.objects[c.Key] = c.Object.object()
+		b.objects[c.Key] = c.Object.object(d.dir)
 	case entryDelete:
 		delete(b.objects, c.Key)
 	case entryUpload:
@@ -186,7 +192,7 @@
 		}
 	case entryPart:
 		if u := d.uploads[c.ID]; u != nil {
-			u.parts[c.Part] = c.Object.object()
+			u.parts[c.Part] = c.Object.object(d.dir)
 		}
 	case entryEndUpload:
 		delete(d.uploads, c.ID)
