--- a/cmd/chalkstand/signals_test.go
+++ b/cmd/chalkstand/signals_test.go
@@ -112,8 +112,7 @@
 		}
 	case <-time.After(20 * time.Second):
 		_ = p.cmd.Process.Kill()
-		<-p.ended
-		t.Errorf("did not end\n%s", p.stderr.String())
+		t.Errorf("did not end: %v\n%s", <-p.ended, p.stderr.String())
 	}
 }
 
--- a/fake/storagenode/disconnect_test.go
+++ b/fake/storagenode/disconnect_test.go
@@ -18,7 +18,7 @@
 	d.AddBucket("photos", time.Now())
 	for _, link := range []float64{0, 1e9} {
 		n := startNode(t, d, Config{ID: "a", Cores: 1, Queue: 4, PerUnit: serviceTime, Link: link})
-		conn, err := net.Dial("tcp", n.Addr())
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", n.Addr())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/fake/storagenode/unreadable_test.go
+++ b/fake/storagenode/unreadable_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -33,7 +34,7 @@
 	}
 }
 
-func objectText(i int) string { return strings.Repeat(fmt.Sprint(i), 1000*i) }
+func objectText(i int) string { return strings.Repeat(strconv.Itoa(i), 1000*i) }
 
 // An object whose file is missing is an internal error and is logged with the file; one whose file is too short
 // is a response that breaks off, logged too. Neither tells the client that a retry helps.
--- a/gateway/listen_test.go
+++ b/gateway/listen_test.go
@@ -101,7 +101,7 @@
 		}
 		cancel()
 		expectReturn(t, returned)
-		if conn, err := net.Dial("tcp", addr); err == nil {
+		if conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", addr); err == nil {
 			conn.Close()
 			t.Error("the listener still accepts")
 		}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -74,7 +74,7 @@
 	mu      sync.Mutex
 	posted  []postedCall
 	spare   []postedCall // a buffer for posted; on the loop it needs no lock
-	stopped bool     // nothing may wake the loop any more
+	stopped bool         // nothing may wake the loop any more
 
 	done      chan struct{} // closed when Run returns
 	connCount atomic.Int64
