fakes: a log of commands at respnode, and one watch for disconnects in both fakes

Cause: the checkers need the times of arrival, end and disconnect at RESP2 nodes, too; the poll for a disconnect stood in storagenode alone. Change: package fake/disconnect, respnode.Log and SetChooser.

--- a/fake/respnode/node.go
+++ b/fake/respnode/node.go
@@ -8,10 +8,11 @@
 	"fmt"
 	"io"
 	"net"
-	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"chalkstand/fake/disconnect"
 )
 
 // Behavior says how a node handles a command. The zero value replies with the command's value, a usage
@@ -35,7 +36,8 @@
 	mu              sync.Mutex
 	next            []Behavior // of the next commands, one each
 	defaultBehavior Behavior
-	commands        [][]string
+	choose          func(args []string) Behavior // in the place of defaultBehavior; may be nil
+	log             []*LogEntry
 	conns           map[net.Conn]bool
 	connsOpened     int
 	stopped         bool
@@ -101,18 +103,12 @@
 	n.defaultBehavior = behavior
 }
 
-// Commands returns the arguments of each command that was received whole, in order.
-func (n *Node) Commands() [][]string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return slices.Clone(n.commands)
-}
-
-// ClearCommands forgets the commands that were received.
-func (n *Node) ClearCommands() {
+// SetChooser sets a function that says how commands are handled that SetNext says nothing of. It must not
+// call methods of the node.
+func (n *Node) SetChooser(choose func(args []string) Behavior) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.commands = nil
+	n.choose = choose
 }
 
 // ConnsOpened returns the number of connections that were accepted.
@@ -186,27 +182,22 @@
 		if err != nil {
 			return
 		}
-		if !n.handle(conn, args, n.record(args)) {
+		if !n.handleCommand(conn, args) {
 			return
 		}
 	}
 }
 
-// record records a command and returns how it is to be handled.
-func (n *Node) record(args []string) Behavior {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.commands = append(n.commands, args)
-	behavior := n.defaultBehavior
-	if len(n.next) > 0 {
-		behavior = n.next[0]
-		n.next = n.next[1:]
-	}
-	select {
-	case n.received <- struct{}{}:
-	default:
-	}
-	return behavior
+// handleCommand records and handles a command, and reports whether the connection stays open.
+func (n *Node) handleCommand(conn net.Conn, args []string) bool {
+	entry, behavior := n.record(args)
+	ended := make(chan struct{})
+	defer n.recordEnd(entry)
+	defer close(ended)
+	n.running.Go(func() {
+		disconnect.Watch(conn.(*net.TCPConn), ended, func() { n.recordDisconnect(entry) })
+	})
+	return n.handle(conn, args, behavior)
 }
 
 // handle replies to a command and reports whether the connection stays open.
--- a/layering_test.go
+++ b/layering_test.go
@@ -53,6 +53,7 @@
 	"internal/signals":        ioLayer,
 	"trace":                   ioLayer,
 
+	"fake/disconnect":            servers,
 	"fake/discovery":             servers,
 	"fake/respnode":              servers,
 	"fake/storagenode":           servers,
