serve, run: a signal behind the graceful shutdown does not kill the process

Callers saw: a second SIGTERM that came between the end of the shutdown and that of the process made it exit by the signal. Cause: the signal listener was closed before the process ended, which restores the default action.

--- a/cmd/chalkstand/run.go
+++ b/cmd/chalkstand/run.go
@@ -46,8 +46,7 @@
 
 // runServer serves with the configuration of a file until a graceful shutdown is complete.
 func runServer(file, level string) error {
-	received := signals.Listen()
-	defer received.Close()
+	received := signals.Listen() // until the process ends: a signal behind the shutdown has no effect
 	cfg, err := respserver.LoadConfig(file)
 	if err != nil {
 		return err
--- a/cmd/chalkstand/serve.go
+++ b/cmd/chalkstand/serve.go
@@ -72,8 +72,7 @@
 
 // serve runs a gateway until a signal ends it.
 func serve(ctx context.Context, file string) error {
-	received := signals.Listen()
-	defer received.Close()
+	received := signals.Listen() // until the process ends: a signal behind the shutdown has no effect
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
--- a/cmd/chalkstand/signals_test.go
+++ b/cmd/chalkstand/signals_test.go
@@ -191,6 +191,27 @@
 	}
 }
 
+// Signals that come between the end of a graceful shutdown and that of the process have no effect either.
+func TestSignalsBehindTheShutdown(t *testing.T) {
+	for command, text := range serverSettings(t) {
+		t.Run(command, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "settings")
+			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			p := startProcess(t, command, "--config", file)
+			waitFor(t, "it does not serve", func() bool { return accepts(t.Context(), listenAddress(text)) })
+			for range 20_000 {
+				if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+					break // it has ended
+				}
+				time.Sleep(100 * time.Microsecond)
+			}
+			p.expectEnd(t)
+		})
+	}
+}
+
 // listenAddress returns the address of the member "listen".
 func listenAddress(settings string) string {
 	_, rest, _ := strings.Cut(settings, `"listen"`)
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -64,7 +64,8 @@
 	}
 }
 
-// Close stops the delivery. Where no other listener is open, the default actions are restored.
+// Close stops the delivery. Where no other listener is open, the default actions are restored: a signal then
+// ends the process.
 func (l *Listener) Close() {
 	signal.Stop(l.Reload)
 	signal.Stop(l.Stop)
