--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"path"
@@ -98,7 +99,7 @@
 	for i := range cfg.LoopCount() {
 		loop, err := eventloop.NewLoopWith(i, loopOptions(g.cfg, g.core.now))
 		if err != nil {
-			return nil, fmt.Errorf("gateway: %w", err)
+			return nil, errors.Join(fmt.Errorf("gateway: %w", err), g.discard())
 		}
 		g.workers = append(g.workers, newLoopWorker(g, loop))
 	}
@@ -110,6 +111,17 @@
 	return g, nil
 }
 
+// discard releases what New has opened before it failed.
+func (g *Gateway) discard() (err error) {
+	for _, w := range g.workers {
+		err = errors.Join(err, w.loop.Close())
+	}
+	if g.registry != nil {
+		g.registry.Unregister(g.metrics)
+	}
+	return err
+}
+
 func forwarderConfig(cfg *Settings, seed uint64) forwarder.Config {
 	l := cfg.Limits
 	return forwarder.Config{
