respserver: Run ends the discovery watch and waits for it

Callers saw: after Run had returned the watch's goroutine and connection went on. Cause: Run did not cancel it, and discovery.Watch gave no way to wait for its end.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -51,17 +51,21 @@
 
 // Watch watches the service at addr from a version on; below 0, from a snapshot on. It returns
 // at once. On a goroutine of the watch, onDocument is called for each document, and then onEnd
-// once with the reason, unless ctx has ended: that ends the watch and its goroutine silently.
+// once with the reason, unless ctx has ended: that ends the watch and its goroutine silently. The
+// channel that it returns is closed when the goroutine has ended.
 func Watch(
 	ctx context.Context, addr string, since int64, o Options,
 	onDocument func(endpoints.Document), onEnd func(error),
-) {
+) <-chan struct{} {
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		err := run(ctx, addr, since, o, onDocument)
 		if ctx.Err() == nil {
 			onEnd(err)
 		}
 	}()
+	return ended
 }
 
 // run makes the call and reads documents until the watch ends. The error is never nil.
--- a/respserver/server.go
+++ b/respserver/server.go
@@ -133,7 +133,9 @@
 // Run serves until a graceful shutdown is complete.
 func (s *Server) Run() error {
 	s.handle(forwarder.EndpointUpdate{Kind: dispatch.Cached, Nodes: s.cfg.Known.Nodes})
-	return s.loop.Run()
+	err := s.loop.Run()
+	s.closeWatches() // nothing else touches them: the loop has ended
+	return err
 }
 
 // Addr returns the address on which the server listens.
--- a/respserver/watch.go
+++ b/respserver/watch.go
@@ -24,7 +24,8 @@
 // watch is an open discovery watch.
 type watch struct {
 	cancel   context.CancelFunc
-	received bool // an endpoint list
+	ended    <-chan struct{} // closed when its goroutine has ended
+	received bool            // an endpoint list
 }
 
 // openWatch opens a discovery watch from the known version on, unless one is open.
@@ -40,7 +41,7 @@
 		ResponseTimeout: discoveryResponseTimeout,
 		SilenceTimeout:  discoverySilenceTimeout,
 	}
-	discovery.Watch(ctx, s.discoveryAddr.String(), s.endpointVersion, options,
+	w.ended = discovery.Watch(ctx, s.discoveryAddr.String(), s.endpointVersion, options,
 		func(list endpoints.Document) { s.loop.Post(func() { s.applyEndpoints(w, list) }) },
 		func(err error) { s.loop.Post(func() { s.watchClosed(w, err) }) })
 }
@@ -85,6 +86,16 @@
 	}
 }
 
+// closeWatches ends the open watches and waits for them.
+func (s *Server) closeWatches() {
+	for _, w := range []*watch{s.watch, s.previousWatch} {
+		if w != nil {
+			w.cancel()
+			<-w.ended
+		}
+	}
+}
+
 // Reload applies the part of a new configuration that may change at run time: the address of
 // discovery. The watch there is opened while the previous one is still open.
 func (s *Server) Reload(cfg Config) {
