soak: serve and run as processes under load, faults and signals until they have ended

Clients use their connections until the earliest kill; signals come in series, during start-up and behind the shutdown; crowds, hanging and draining nodes, lost responses. The checks are those of lab/invariants over the clients' and nodes' logs, and the program's end, descriptors and memory.

--- a/fake/discovery/discovery.go
+++ b/fake/discovery/discovery.go
@@ -10,11 +10,15 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // maxBufferedLines is how many lines a watch may lag behind before Send blocks.
 const maxBufferedLines = 64
 
+// heartbeatInterval is how often a watch gets an empty line once a list was published.
+const heartbeatInterval = time.Second
+
 // Endpoint is a node's entry in an endpoint list.
 type Endpoint struct {
 	ID        string
@@ -50,6 +54,7 @@
 	calls        []string      // the since parameter of each call
 	watches      []chan string // lines to send
 	failingCalls int           // so many calls are still to fail
+	snapshot     string        // first line of each watch; empty: none
 }
 
 // Start starts a server on a free port of the loopback address.
@@ -102,6 +107,17 @@
 	return len(s.watches)
 }
 
+// Publish sets the list with which each watch begins from now on, and sends the changes that lead to it on all
+// open watches. From the first call on watches get heartbeats, as those of the platform do.
+func (s *Server) Publish(snapshot, changes string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snapshot = snapshot
+	for _, lines := range s.watches {
+		lines <- changes
+	}
+}
+
 // CloseWatches closes all watches.
 func (s *Server) CloseWatches() {
 	s.mu.Lock()
@@ -121,8 +137,17 @@
 	}
 	response := http.NewResponseController(w)
 	w.WriteHeader(http.StatusOK)
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
 	for err := response.Flush(); err == nil; err = response.Flush() {
 		select {
+		case <-heartbeat.C:
+			if !s.published() {
+				continue
+			}
+			if _, err := fmt.Fprintln(w); err != nil {
+				return
+			}
 		case line, open := <-lines:
 			if !open {
 				return
@@ -136,6 +161,13 @@
 	}
 }
 
+// published reports whether a list was published.
+func (s *Server) published() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot != ""
+}
+
 // openWatch records a call and opens its watch. It reports false for a call that is to fail.
 func (s *Server) openWatch(since string) (lines chan string, ok bool) {
 	s.mu.Lock()
@@ -146,6 +178,9 @@
 		return nil, false
 	}
 	lines = make(chan string, maxBufferedLines)
+	if s.snapshot != "" {
+		lines <- s.snapshot
+	}
 	s.watches = append(s.watches, lines)
 	return lines, true
 }
--- a/fake/storagenode/node.go
+++ b/fake/storagenode/node.go
@@ -139,3 +139,6 @@
 		return false
 	}
 }
+
+// Shard returns the shard that the node holds.
+func (n *Node) Shard() int { return n.cfg.Shard }
--- a/lab/faultinjection/faultinjection_test.go
+++ b/lab/faultinjection/faultinjection_test.go
@@ -143,3 +143,27 @@
 		})
 	}
 }
+
+// Runs on seeds that once broke a rule, or on which a checker took a canceled write for one in flight.
+func TestSeedsThatBrokeInvariants(t *testing.T) {
+	var runs sync.WaitGroup
+	for _, seeds := range [][]uint64{{50002, 50003, 50016}, {50024, 50039, 50010}} {
+		runs.Go(func() {
+			for _, seed := range seeds {
+				o := DefaultOptions(seed)
+				o.Duration = 8 * time.Second
+				report, err := Run(t.Context(), o)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if len(report.Violations) > 0 {
+					var text strings.Builder
+					report.Write(&text)
+					t.Errorf("\n%s", text.String())
+				}
+			}
+		})
+	}
+	runs.Wait()
+}
--- /dev/null
+++ b/lab/soak/report.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"chalkstand/lab/invariants"
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed       uint64
+	Program    Program
+	Plan       string
+	Requests   int
+	Served     int
+	Rejected   int
+	Failed     int
+	Canceled   int // by their clients, or crossed by the end of their connection
+	Attempts   int // at nodes
+	Before     usage
+	After      usage
+	OwnTime    time.Duration // from SIGTERM to the program's end
+	Violations []invariants.Violation
+
+	log        *invariants.Log
+	programLog []string
+}
+
+func newReport(r *run) *Report {
+	violations, log := r.check()
+	report := &Report{
+		Seed:       r.options.Seed,
+		Program:    r.options.Program,
+		Plan:       r.plan.String(),
+		Requests:   len(log.Requests),
+		Attempts:   len(log.Entries),
+		Before:     r.before,
+		After:      r.after,
+		OwnTime:    r.ownTime,
+		Violations: violations,
+		log:        log,
+		programLog: r.process.log(),
+	}
+	for _, q := range log.Requests {
+		switch {
+		case q.ClientCanceled:
+			report.Canceled++
+		case q.Status == http.StatusServiceUnavailable:
+			report.Rejected++
+		case q.Status == 0 || q.Status >= http.StatusInternalServerError || q.Aborted:
+			report.Failed++
+		default:
+			report.Served++
+		}
+	}
+	return report
+}
+
+// Bounds of what is printed.
+const (
+	maxPrintedViolations = 5  // of each invariant
+	maxPrintedLogLines   = 20 // the last ones
+)
+
+// Write prints a line with figures, and for each violation the records of clients and nodes.
+func (r *Report) Write(w io.Writer) {
+	fmt.Fprintf(w, "soak %s, seed %d: %d requests: %d served, %d rejected, %d failed, %d canceled; %d attempts; "+
+		"descriptors %d to %d, memory %.0f to %.0f MiB; ended %v after SIGTERM; %d violations\n",
+		r.Program, r.Seed, r.Requests, r.Served, r.Rejected, r.Failed, r.Canceled, r.Attempts,
+		r.Before.Descriptors, r.After.Descriptors, r.Before.MemoryMiB, r.After.MemoryMiB,
+		r.OwnTime.Round(time.Millisecond), len(r.Violations))
+	if len(r.Violations) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "  plan: %s\n", r.Plan)
+	for _, name := range All {
+		r.writeInvariant(w, name)
+	}
+	fmt.Fprintln(w, "  the end of the program's log:")
+	for _, line := range r.programLog[max(0, len(r.programLog)-maxPrintedLogLines):] {
+		fmt.Fprintf(w, "         %s\n", line)
+	}
+}
+
+func (r *Report) writeInvariant(w io.Writer, name string) {
+	count := 0
+	for _, v := range r.Violations {
+		if v.Invariant != name {
+			continue
+		}
+		count++
+		if count <= maxPrintedViolations {
+			fmt.Fprintf(w, "BROKEN %s: %8.3fs %s\n", name, v.At.Seconds(), v.Detail)
+			r.log.WriteEvidence(w, v)
+		}
+	}
+	if count > maxPrintedViolations {
+		fmt.Fprintf(w, "       %d in all\n", count)
+	}
+}
