--- a/cmd/chalkstand/signals_test.go
+++ b/cmd/chalkstand/signals_test.go
@@ -141,6 +141,18 @@
 	return map[string]string{serveName: d.quickstartSettings(t), runName: string(text)}
 }
 
+// startServing starts a server command and waits until it serves. It returns the process and its settings file.
+func startServing(t *testing.T, command, text string) (*process, string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := startProcess(t, command, "--config", file)
+	waitFor(t, "it does not serve", func() bool { return accepts(t.Context(), listenAddress(text)) })
+	return p, file
+}
+
 // signalGap keeps two signals of one kind apart, which the kernel would deliver as one.
 const signalGap = 2 * time.Millisecond
 
@@ -170,12 +182,7 @@
 func TestStopBehindASeriesOfReloads(t *testing.T) {
 	for command, text := range serverSettings(t) {
 		t.Run(command, func(t *testing.T) {
-			file := filepath.Join(t.TempDir(), "settings")
-			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-				t.Fatal(err)
-			}
-			p := startProcess(t, command, "--config", file)
-			waitFor(t, "it does not serve", func() bool { return accepts(t.Context(), listenAddress(text)) })
+			p, file := startServing(t, command, text)
 			settings := newPipeFile(t, file, text)
 			p.signal(t, syscall.SIGHUP)
 			answer := settings.awaitReader(t)
@@ -195,12 +202,7 @@
 func TestSignalsBehindTheShutdown(t *testing.T) {
 	for command, text := range serverSettings(t) {
 		t.Run(command, func(t *testing.T) {
-			file := filepath.Join(t.TempDir(), "settings")
-			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-				t.Fatal(err)
-			}
-			p := startProcess(t, command, "--config", file)
-			waitFor(t, "it does not serve", func() bool { return accepts(t.Context(), listenAddress(text)) })
+			p, _ := startServing(t, command, text)
 			for range 20_000 {
 				if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 					break // it has ended
--- a/gateway/listen_test.go
+++ b/gateway/listen_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net"
-	"os"
 	"testing"
 	"time"
 
 	"chalkstand/gateway"
+	"chalkstand/internal/testfd"
 	kit "chalkstand/internal/testkit"
 )
 
@@ -67,7 +67,7 @@
 // that was accepted by then is left open.
 func TestServeReturnsWhereverCloseMeetsIt(t *testing.T) {
 	const rounds = 200
-	before := openDescriptors(t)
+	before := testfd.Count(t)
 	for round := range rounds {
 		g := newTestGateway(t)
 		addr, returned := serveInBackground(t.Context(), t, g)
@@ -85,7 +85,7 @@
 		close(ended)
 		<-clientEnded
 	}
-	waitForDescriptors(t, before)
+	testfd.Await(t, before)
 }
 
 // After Serve has returned because its context ended, its listener is closed. The gateway can serve
@@ -107,18 +107,3 @@
 		}
 	}
 }
-
-func openDescriptors(t *testing.T) int {
-	t.Helper()
-	return len(kit.Must(os.ReadDir("/proc/self/fd"))(t))
-}
-
-// waitForDescriptors waits until the process has no more descriptors than before.
-func waitForDescriptors(t *testing.T, before int) {
-	t.Helper()
-	for deadline := time.Now().Add(serveLimit); openDescriptors(t) > before; time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("%d descriptors, %d before", openDescriptors(t), before)
-		}
-	}
-}
--- a/gateway/newfails_test.go
+++ b/gateway/newfails_test.go
@@ -6,6 +6,7 @@
 	"golang.org/x/sys/unix"
 
 	"chalkstand/gateway"
+	"chalkstand/internal/testfd"
 	kit "chalkstand/internal/testkit"
 )
 
@@ -15,7 +16,7 @@
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &before); err != nil {
 		t.Fatal(err)
 	}
-	open := openDescriptors(t)
+	open := testfd.Count(t)
 	s := kit.Settings(1)
 	s.Embedded = nil
 	s.Loops = 64
@@ -31,5 +32,5 @@
 		g.Close()
 		t.Fatal("New succeeded with 20 descriptors for 64 loops")
 	}
-	waitForDescriptors(t, open)
+	testfd.Await(t, open)
 }
--- a/internal/eventloop/end_test.go
+++ b/internal/eventloop/end_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,30 +10,9 @@
 	"golang.org/x/sys/unix"
 
 	"chalkstand/fairshare"
+	"chalkstand/internal/testfd"
 )
 
-// openDescriptors returns how many descriptors the process has.
-func openDescriptors(t *testing.T) int {
-	t.Helper()
-	entries, err := os.ReadDir("/proc/self/fd")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return len(entries)
-}
-
-// expectDescriptors waits until the process has no more descriptors than before.
-func expectDescriptors(t *testing.T, before int) {
-	t.Helper()
-	deadline := time.Now().Add(5 * time.Second)
-	for openDescriptors(t) > before {
-		if time.Now().After(deadline) {
-			t.Fatalf("%d descriptors, %d before", openDescriptors(t), before)
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // A loop that ends while a dial is in progress does not leak the dial's socket.
 func TestDialClosesItsSocketWhereTheLoopEnds(t *testing.T) {
 	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -42,7 +20,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	before := openDescriptors(t)
+	before := testfd.Count(t)
 	for range 100 {
 		l, err := NewLoop(0)
 		if err != nil {
@@ -60,7 +38,7 @@
 			t.Fatal(err)
 		}
 	}
-	expectDescriptors(t, before)
+	testfd.Await(t, before)
 }
 
 // Of a posted call exactly one function is called, whenever the loop ends.
@@ -95,7 +73,7 @@
 // What is put on a loop that ends is closed: a connection that is opened while others are closed
 // would be left open.
 func TestEndedLoopTakesNothing(t *testing.T) {
-	before := openDescriptors(t)
+	before := testfd.Count(t)
 	l, err := NewLoop(0)
 	if err != nil {
 		t.Fatal(err)
@@ -115,12 +93,12 @@
 			t.Errorf("Listen: %v", err)
 		}
 	}
-	expectDescriptors(t, before)
+	testfd.Await(t, before)
 }
 
 // A loop on which Run was never called leaves no descriptor open, and drops what was posted.
 func TestCloseWithoutRun(t *testing.T) {
-	before := openDescriptors(t)
+	before := testfd.Count(t)
 	l, err := NewLoop(0)
 	if err != nil {
 		t.Fatal(err)
@@ -137,7 +115,7 @@
 	if !dropped {
 		t.Error("not dropped")
 	}
-	expectDescriptors(t, before+1) // the peer is closed with the test
+	testfd.Await(t, before+1) // the peer is closed with the test
 }
 
 // A listener that is closed accepts nothing more; the others of its loop do.
--- a/lab/faultinjection/report.go
+++ b/lab/faultinjection/report.go
@@ -109,9 +109,6 @@
 	return latency.Round(100 * time.Microsecond)
 }
 
-// maxPrintedViolations bounds the violations of each invariant that are printed.
-const maxPrintedViolations = 5
-
 // Write prints the report.
 func (r *Report) Write(w io.Writer) {
 	fmt.Fprintf(w, "fault injection: seed %d, %v\n\n", r.Seed, r.Duration)
@@ -127,26 +124,8 @@
 		"%d completed after they were canceled\n\n",
 		r.Attempts, r.Retries, r.Repeats, r.LateResponses)
 	for _, name := range invariants.All {
-		r.writeInvariant(w, name)
-	}
-}
-
-// writeInvariant prints the violations of one invariant.
-func (r *Report) writeInvariant(w io.Writer, name string) {
-	count := 0
-	for _, v := range r.Violations {
-		if v.Invariant != name {
-			continue
-		}
-		count++
-		if count <= maxPrintedViolations {
-			fmt.Fprintf(w, "BROKEN %s: %8.3fs %s\n", name, v.At.Seconds(), v.Detail)
-			r.log.WriteEvidence(w, v)
+		if r.log.WriteViolations(w, name, r.Violations) == 0 {
+			fmt.Fprintf(w, "kept   %s\n", name)
 		}
 	}
-	if count == 0 {
-		fmt.Fprintf(w, "kept   %s\n", name)
-	} else {
-		fmt.Fprintf(w, "       %d in all\n", count)
-	}
 }
--- a/lab/invariants/evidence.go
+++ b/lab/invariants/evidence.go
@@ -8,8 +8,30 @@
 	"chalkstand/fake/storagenode"
 )
 
-// WriteEvidence prints what the logs of clients and nodes hold of the requests of a violation.
-func (l *Log) WriteEvidence(w io.Writer, v Violation) {
+// maxPrinted bounds the violations of each invariant that are printed.
+const maxPrinted = 5
+
+// WriteViolations prints the violations of one invariant with their evidence, and returns their number.
+func (l *Log) WriteViolations(w io.Writer, invariant string, violations []Violation) int {
+	count := 0
+	for _, v := range violations {
+		if v.Invariant != invariant {
+			continue
+		}
+		count++
+		if count <= maxPrinted {
+			fmt.Fprintf(w, "BROKEN %s: %8.3fs %s\n", invariant, v.At.Seconds(), v.Detail)
+			l.writeEvidence(w, v)
+		}
+	}
+	if count > 0 {
+		fmt.Fprintf(w, "       %d in all\n", count)
+	}
+	return count
+}
+
+// writeEvidence prints what the logs of clients and nodes hold of the requests of a violation.
+func (l *Log) writeEvidence(w io.Writer, v Violation) {
 	for i := range l.Requests {
 		if r := &l.Requests[i]; slices.Contains(v.Tags, r.Tag) {
 			writeRequest(w, r)
--- a/lab/soak/report.go
+++ b/lab/soak/report.go
@@ -59,11 +59,8 @@
 	return report
 }
 
-// Bounds of what is printed.
-const (
-	maxPrintedViolations = 5  // of each invariant
-	maxPrintedLogLines   = 20 // the last ones
-)
+// maxPrintedLogLines bounds the lines of the program's log that are printed, which are the last ones.
+const maxPrintedLogLines = 20
 
 // Write prints a line with figures, and for each violation the records of clients and nodes.
 func (r *Report) Write(w io.Writer) {
@@ -77,27 +74,10 @@
 	}
 	fmt.Fprintf(w, "  plan: %s\n", r.Plan)
 	for _, name := range All {
-		r.writeInvariant(w, name)
+		r.log.WriteViolations(w, name, r.Violations)
 	}
 	fmt.Fprintln(w, "  the end of the program's log:")
 	for _, line := range r.programLog[max(0, len(r.programLog)-maxPrintedLogLines):] {
 		fmt.Fprintf(w, "         %s\n", line)
 	}
 }
-
-func (r *Report) writeInvariant(w io.Writer, name string) {
-	count := 0
-	for _, v := range r.Violations {
-		if v.Invariant != name {
-			continue
-		}
-		count++
-		if count <= maxPrintedViolations {
-			fmt.Fprintf(w, "BROKEN %s: %8.3fs %s\n", name, v.At.Seconds(), v.Detail)
-			r.log.WriteEvidence(w, v)
-		}
-	}
-	if count > maxPrintedViolations {
-		fmt.Fprintf(w, "       %d in all\n", count)
-	}
-}
--- a/layering_test.go
+++ b/layering_test.go
@@ -74,6 +74,7 @@
 	"cmd/simhost":    commands,
 
 	"internal/e2e":     testSupport,
+	"internal/testfd":  testSupport,
 	"internal/testkit": testSupport,
 }
 
--- a/respserver/lifecycle_test.go
+++ b/respserver/lifecycle_test.go
@@ -1,36 +1,27 @@
 package respserver_test
 
 import (
-	"os"
 	"runtime"
 	"strings"
 	"testing"
 
 	"go.uber.org/zap"
 
+	"chalkstand/internal/testfd"
 	"chalkstand/respserver"
 )
 
-func openDescriptors(t *testing.T) int {
-	t.Helper()
-	entries, err := os.ReadDir("/proc/self/fd")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return len(entries)
-}
-
 // A server that cannot listen leaves no event loop open.
 func TestFailedNewLeavesNothingOpen(t *testing.T) {
 	f := startFixture(t, 256)
 	f.waitFor(func() bool { return len(f.discovery.Calls()) > 0 })
-	before := openDescriptors(t)
+	before := testfd.Count(t)
 	for range 5 {
 		if _, err := respserver.New(f.cfg, zap.NewNop()); err == nil {
 			t.Fatal("two servers on one address")
 		}
 	}
-	f.waitFor(func() bool { return openDescriptors(t) <= before })
+	testfd.Await(t, before)
 }
 
 // When Run returns, the goroutine of the discovery watch has ended.
