--- a/respserver/export_test.go
+++ b/respserver/export_test.go
@@ -84,6 +84,15 @@
 	return n
 }
 
+// ResumeClients reads from all clients again.
+func (s *Server) ResumeClients() {
+	s.RunOnLoop(func() {
+		for _, cl := range s.clients {
+			cl.conn.Resume()
+		}
+	})
+}
+
 // PauseClients stops reading from all clients.
 func (s *Server) PauseClients() {
 	s.RunOnLoop(func() {
--- a/respserver/shutdown_test.go
+++ b/respserver/shutdown_test.go
@@ -95,6 +95,24 @@
 	f.expectCommands(1)
 }
 
+// A connection that is paused, as its client does not read, is not half-closed before its commands that were read
+// are started: they would be dropped without a reply.
+func TestShutdownWaitsForPausedClient(t *testing.T) {
+	f := startFixture(t, 256)
+	c := f.client()
+	c.expectPong()
+	f.server.PauseClients()
+	c.send(getCommand("paused"))
+	f.server.Shutdown()
+	f.passGracePeriod()
+	f.server.ResumeClients()
+	c.expectReply(replyTo("paused"))
+	f.advance(pastAcceptQueue)
+	c.expectClosed()
+	closeOrFail(t, c)
+	f.waitForStop()
+}
+
 // Connections in the accept queue when the listener closes are accepted and served.
 func TestShutdownServesAcceptQueue(t *testing.T) {
 	f := startFixture(t, 256)
