storagenode: HEAD of an object whose file is missing is an internal error, too

Callers saw: HEAD answered 200 for an object that GET could not read. Cause: the body was opened for responses with a body only. Evidence: the test's new line failed before (200).

--- a/fake/storagenode/serve.go
+++ b/fake/storagenode/serve.go
@@ -150,9 +150,10 @@
 	return n, err
 }
 
-// openBody opens the body of a response. If that fails, it returns an internal error in its place.
+// openBody opens the body of a response, also where it is not sent, as to HEAD. If that fails, it returns an
+// internal error in its place.
 func (n *Node) openBody(r *http.Request, resp response) response {
-	if resp.blob == nil || r.Method == http.MethodHead || resp.length == 0 {
+	if resp.blob == nil || resp.length == 0 {
 		return resp
 	}
 	opened, err := resp.blob.open(resp.offset, resp.length)
--- a/fake/storagenode/unreadable_test.go
+++ b/fake/storagenode/unreadable_test.go
@@ -61,11 +61,14 @@
 	if status != 500 || !strings.Contains(body, "InternalError") || strings.Contains(body, dir) {
 		t.Errorf("missing file: %d %s", status, body)
 	}
+	if s, _ := request(t, n, "HEAD", "/photos/k1", ""); s != 500 {
+		t.Errorf("HEAD, missing file: %d", s)
+	}
 	if s, _ := request(t, n, "GET", "/photos/k5", ""); s != -200 {
 		t.Errorf("short file: %d, want a response that breaks off", s)
 	}
-	if entries := logs.All(); len(entries) != 2 || !strings.Contains(fmt.Sprint(entries[0].ContextMap()["error"]), missing) ||
-		entries[1].ContextMap()["object"] != "/photos/k5" {
+	if entries := logs.All(); len(entries) != 3 || !strings.Contains(fmt.Sprint(entries[0].ContextMap()["error"]), missing) ||
+		entries[2].ContextMap()["object"] != "/photos/k5" {
 		t.Errorf("logged: %v", entries)
 	}
 	if s, _ := request(t, n, "GET", "/photos/k2", ""); s != 200 {
