--- a/fake/storagenode/buckets.go
+++ b/fake/storagenode/buckets.go
@@ -10,7 +10,7 @@
 )
 
 func errNoSuchBucket() *objectapi.Error {
-	return objectapi.NewError("NoSuchBucket", "The specified bucket does not exist.")
+	return objectapi.NewError(objectapi.CodeNoSuchBucket, "The specified bucket does not exist.")
 }
 
 func (d *Dataset) listBuckets(objectapi.Operation, *http.Request) (response, *objectapi.Error) {
@@ -26,7 +26,7 @@
 
 func (d *Dataset) createBucket(o objectapi.Operation, _ *http.Request) (response, *objectapi.Error) {
 	if !d.AddBucket(o.Bucket, time.Now()) {
-		return response{}, objectapi.NewError("BucketAlreadyOwnedByYou", "The bucket is there already and is yours.")
+		return response{}, objectapi.NewError(objectapi.CodeBucketAlreadyOwnedByYou, "The bucket is there already and is yours.")
 	}
 	return response{status: http.StatusOK, header: map[string]string{"Location": "/" + o.Bucket}}, nil
 }
@@ -60,7 +60,7 @@
 		return response{}, errNoSuchBucket()
 	}
 	if len(b.objects) > 0 {
-		return response{}, objectapi.NewError("BucketNotEmpty", "The bucket you tried to delete is not empty.")
+		return response{}, objectapi.NewError(objectapi.CodeBucketNotEmpty, "The bucket you tried to delete is not empty.")
 	}
 	delete(d.buckets, o.Bucket)
 	d.appendJournal(journalEntry{What: entryDeleteBucket, Bucket: o.Bucket})
--- a/fake/storagenode/conditions.go
+++ b/fake/storagenode/conditions.go
@@ -17,7 +17,7 @@
 func unconditional(*object) *objectapi.Error { return nil }
 
 func errPreconditionFailed() *objectapi.Error {
-	return objectapi.NewError("PreconditionFailed", "At least one of the pre-conditions you specified did not hold")
+	return objectapi.NewError(objectapi.CodePreconditionFailed, "At least one of the pre-conditions you specified did not hold")
 }
 
 // writeCondition returns the condition of If-Match and If-None-Match of a write.
@@ -63,7 +63,7 @@
 	} else if t, ok := since("If-Unmodified-Since"); ok && o.modified.After(t) {
 		return errPreconditionFailed()
 	}
-	notModified := objectapi.NewError("NotModified", "")
+	notModified := objectapi.NewError(objectapi.CodeNotModified, "")
 	if prefix != "" {
 		notModified = errPreconditionFailed()
 	}
@@ -97,7 +97,7 @@
 	if p := o.Query.Get("partNumber"); p != "" {
 		var ok bool
 		if br, ok = ob.partRange(p); !ok {
-			return objectapi.NewError("InvalidRange", "The requested partnumber is not satisfiable")
+			return objectapi.NewError(objectapi.CodeInvalidRange, "The requested partnumber is not satisfiable")
 		}
 		result = rangeValid
 	} else if v := r.Header.Get("Range"); v != "" && rangeApplies(r, ob) {
@@ -105,7 +105,7 @@
 	}
 	switch result {
 	case rangeUnsatisfiable:
-		return objectapi.NewError("InvalidRange", "The requested range is not satisfiable")
+		return objectapi.NewError(objectapi.CodeInvalidRange, "The requested range is not satisfiable")
 	case rangeValid:
 		resp.status = http.StatusPartialContent
 		resp.offset = br.offset
--- a/fake/storagenode/dataset.go
+++ b/fake/storagenode/dataset.go
@@ -94,7 +94,7 @@
 }
 
 func errNoSuchKey() *objectapi.Error {
-	return objectapi.NewError("NoSuchKey", "The specified key does not exist.")
+	return objectapi.NewError(objectapi.CodeNoSuchKey, "The specified key does not exist.")
 }
 
 func (d *Dataset) get(bucketName, key string) (*object, *objectapi.Error) {
--- a/fake/storagenode/lists.go
+++ b/fake/storagenode/lists.go
@@ -110,7 +110,7 @@
 	}
 	b, err := base64.URLEncoding.DecodeString(token)
 	if err != nil {
-		return "", objectapi.NewError("InvalidArgument", "The continuation token provided is incorrect")
+		return "", objectapi.NewError(objectapi.CodeInvalidArgument, "The continuation token provided is incorrect")
 	}
 	return string(b), nil
 }
--- a/fake/storagenode/multipart.go
+++ b/fake/storagenode/multipart.go
@@ -25,7 +25,7 @@
 }
 
 func errNoSuchUpload() *objectapi.Error {
-	return objectapi.NewError("NoSuchUpload",
+	return objectapi.NewError(objectapi.CodeNoSuchUpload,
 		"The specified upload does not exist. It may have been aborted or completed.")
 }
 
@@ -114,7 +114,7 @@
 	if v := r.Header.Get(headerCopySourceRange); v != "" {
 		var result rangeResult
 		if br, result = parseRange(v, src.blob.size); result != rangeValid {
-			return response{}, objectapi.NewError("InvalidArgument",
+			return response{}, objectapi.NewError(objectapi.CodeInvalidArgument,
 				"The x-amz-copy-source-range value must be of the form bytes=first-last")
 		}
 	}
@@ -173,10 +173,10 @@
 	for i, l := range listed {
 		p := u.parts[l.PartNumber]
 		if p == nil || p.etag != strings.Trim(l.ETag, `"`) {
-			return nil, objectapi.NewError("InvalidPart", "One or more of the specified parts could not be found.")
+			return nil, objectapi.NewError(objectapi.CodeInvalidPart, "One or more of the specified parts could not be found.")
 		}
 		if i < len(listed)-1 && p.blob.size < minPart {
-			return nil, objectapi.NewError("EntityTooSmall",
+			return nil, objectapi.NewError(objectapi.CodeEntityTooSmall,
 				"Your proposed upload is smaller than the minimum allowed object size.")
 		}
 		parts = append(parts, p)
--- a/fake/storagenode/objects.go
+++ b/fake/storagenode/objects.go
@@ -70,7 +70,7 @@
 func modificationTime() time.Time { return time.Now().Truncate(time.Second) }
 
 func errIncompleteBody() *objectapi.Error {
-	return objectapi.NewError("IncompleteBody", "The body ended early.")
+	return objectapi.NewError(objectapi.CodeIncompleteBody, "The body ended early.")
 }
 
 // readDocument reads the XML document of a request.
@@ -117,11 +117,11 @@
 func (b *receivedBody) verify(r *http.Request, name string) *objectapi.Error {
 	if want := r.Header.Get("Content-MD5"); want != "" {
 		if got, _ := hex.DecodeString(b.md5); base64.StdEncoding.EncodeToString(got) != want {
-			return objectapi.NewError("BadDigest", "The Content-MD5 you specified did not match what we received.")
+			return objectapi.NewError(objectapi.CodeBadDigest, "The Content-MD5 you specified did not match what we received.")
 		}
 	}
 	if want := r.Header.Get(name) + r.Trailer.Get(name); name != "" && want != b.checksum {
-		return objectapi.NewError("BadDigest", "The checksum you specified did not match the calculated one.")
+		return objectapi.NewError(objectapi.CodeBadDigest, "The checksum you specified did not match the calculated one.")
 	}
 	return nil
 }
@@ -214,7 +214,7 @@
 	if strings.EqualFold(r.Header.Get(headerDirective), "REPLACE") {
 		ob.header = storedHeaders(r.Header)
 	} else if o.SourceBucket == o.Bucket && o.SourceKey == o.Key {
-		return response{}, objectapi.NewError("InvalidRequest", "This copy request is illegal because it is trying "+
+		return response{}, objectapi.NewError(objectapi.CodeInvalidRequest, "This copy request is illegal because it is trying "+
 			"to copy an object to itself without changing the object's metadata.")
 	}
 	res := objectapi.CopyObjectResult{LastModified: objectapi.FormatTime(ob.modified), ETag: quoted(ob.etag)}
--- a/fake/storagenode/operations.go
+++ b/fake/storagenode/operations.go
@@ -51,7 +51,7 @@
 func (d *Dataset) run(o objectapi.Operation, r *http.Request) response {
 	handle, ok := handlers[o.Kind]
 	if !ok {
-		return errorResponse(objectapi.NewError("NotImplemented", "Not offered."), r.URL.Path)
+		return errorResponse(objectapi.NewError(objectapi.CodeNotImplemented, "Not offered."), r.URL.Path)
 	}
 	resp, err := handle(d, o, r)
 	if err != nil {
--- a/fake/storagenode/serve.go
+++ b/fake/storagenode/serve.go
@@ -63,7 +63,7 @@
 		resetConnection(w)
 	case ServerError:
 		n.update(e, func(x *LogEntry) { x.Status = http.StatusInternalServerError })
-		err := objectapi.NewError("InternalError", "We encountered an internal error.")
+		err := objectapi.NewError(objectapi.CodeInternalError, "We encountered an internal error.")
 		n.writeResponse(w, r, e, errorResponse(err, r.URL.Path), nil)
 	default:
 		return false
@@ -80,7 +80,7 @@
 	w.Header().Set("Retry-After", "1")
 	w.Header().Set("Content-Type", "application/xml")
 	w.WriteHeader(http.StatusServiceUnavailable)
-	_, _ = w.Write(objectapi.NewError("SlowDown", "Please reduce your request rate.").Document("", "0"))
+	_, _ = w.Write(objectapi.NewError(objectapi.CodeSlowDown, "Please reduce your request rate.").Document("", "0"))
 }
 
 // writeResponse sends a response, whole or with a fault that breaks it. Errors of sending are
--- a/gateway/buckets.go
+++ b/gateway/buckets.go
@@ -52,7 +52,7 @@
 			return
 		}
 		if !anyStatus(responses, http.StatusOK) {
-			t.respondErrorCode(objectapi.NewError("BucketAlreadyOwnedByYou",
+			t.respondErrorCode(objectapi.NewError(objectapi.CodeBucketAlreadyOwnedByYou,
 				"Your previous request to create the named bucket succeeded and you already own it."))
 			return
 		}
@@ -88,7 +88,7 @@
 }
 
 func (t *transaction) respondBucketNotEmpty() {
-	t.respondErrorCode(objectapi.NewError("BucketNotEmpty", "The bucket you tried to delete is not empty."))
+	t.respondErrorCode(objectapi.NewError(objectapi.CodeBucketNotEmpty, "The bucket you tried to delete is not empty."))
 }
 
 // deleteEmptyBucket deletes a bucket that was empty on all shards. A shard in which an object was written
--- a/gateway/clientconn.go
+++ b/gateway/clientconn.go
@@ -180,7 +180,7 @@
 	case stateBufferingBody:
 		if waited > limits.ClientBody.D() {
 			c.current.closeConn = true
-			c.current.rejectBody(objectapi.NewError("RequestTimeout", "The body of the request did not come in time."))
+			c.current.rejectBody(objectapi.NewError(objectapi.CodeRequestTimeout, "The body of the request did not come in time."))
 		}
 	case stateUploading:
 		c.current.upload.checkTimeout(waited)
@@ -204,7 +204,7 @@
 	case c.conn.Buffered() > 0 && waited > limits.ClientHead.D():
 		t := c.newTransaction()
 		t.closeConn = true
-		apiErr := objectapi.NewError("RequestTimeout", "The head of the request did not come in time.")
+		apiErr := objectapi.NewError(objectapi.CodeRequestTimeout, "The head of the request did not come in time.")
 		t.respondError(apiErr, http.StatusRequestTimeout)
 	case c.conn.Buffered() == 0 && waited > limits.ClientIdle.D():
 		c.conn.Close()
--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -29,7 +29,7 @@
 func (t *transaction) copyObject(r *http1.Request) {
 	source := t.conn.worker.volumeOf(t.op.SourceBucket)
 	if source == nil {
-		t.respondErrorCode(objectapi.NewError("NoSuchBucket",
+		t.respondErrorCode(objectapi.NewError(objectapi.CodeNoSuchBucket,
 			"No rule of this gateway's settings fits the source's bucket."))
 		return
 	}
@@ -113,7 +113,7 @@
 	case http.StatusOK, http.StatusPartialContent:
 		c.startWrite(r.resp, append([]byte(nil), r.body...), int64(len(r.body)), false)
 	case http.StatusNotModified, http.StatusPreconditionFailed:
-		t.respondErrorCode(objectapi.NewError("PreconditionFailed",
+		t.respondErrorCode(objectapi.NewError(objectapi.CodePreconditionFailed,
 			"At least one of the pre-conditions you specified did not hold"))
 	default:
 		t.respondResult(r)
--- a/gateway/deleteobjects.go
+++ b/gateway/deleteobjects.go
@@ -57,11 +57,11 @@
 // parseDeleted returns a shard's result, or the error that holds for all of its keys.
 func parseDeleted(r shardResponse) (objectapi.DeleteResult, *objectapi.Error) {
 	var result objectapi.DeleteResult
-	unknown := objectapi.NewError("InternalError",
+	unknown := objectapi.NewError(objectapi.CodeInternalError,
 		"We encountered an internal error; whether the object was deleted is not known.")
 	switch {
 	case r.kind == resultRejected:
-		return result, objectapi.NewError("SlowDown", "Please reduce your request rate.")
+		return result, objectapi.NewError(objectapi.CodeSlowDown, "Please reduce your request rate.")
 	case r.kind != resultBuffered:
 		return result, unknown
 	case r.status != http.StatusOK:
--- a/gateway/httpserver.go
+++ b/gateway/httpserver.go
@@ -49,7 +49,7 @@
 
 // authorize checks the permissions of the key.
 func (t *transaction) authorize() *objectapi.Error {
-	denied := objectapi.NewError("AccessDenied", "Access Denied")
+	denied := objectapi.NewError(objectapi.CodeAccessDenied, "Access Denied")
 	if t.key == nil || t.op.Kind.Writes() && !t.key.Write {
 		return denied
 	}
@@ -75,11 +75,11 @@
 		}
 		name := strings.ToLower(string(h.Name))
 		if isUnsupported(name, h.Value) {
-			return objectapi.NewError("NotImplemented",
+			return objectapi.NewError(objectapi.CodeNotImplemented,
 				"The header "+name+" asks for something that is not offered here.")
 		}
 		if name == "x-amz-storage-class" && string(h.Value) != "STANDARD" {
-			return objectapi.NewError("InvalidStorageClass", "The storage class you specified is not valid.")
+			return objectapi.NewError(objectapi.CodeInvalidStorageClass, "The storage class you specified is not valid.")
 		}
 	}
 	return nil
@@ -105,7 +105,7 @@
 func (t *transaction) enterVolume() bool {
 	w := t.conn.worker
 	if t.volume = w.volumeOf(t.op.Bucket); t.volume == nil {
-		t.respondErrorCode(objectapi.NewError("NoSuchBucket", "No rule of this gateway's settings fits the bucket."))
+		t.respondErrorCode(objectapi.NewError(objectapi.CodeNoSuchBucket, "No rule of this gateway's settings fits the bucket."))
 		return false
 	}
 	t.conn.assignVolume(t.volume)
--- a/gateway/list.go
+++ b/gateway/list.go
@@ -41,7 +41,7 @@
 	}
 	b, err := base64.URLEncoding.DecodeString(token)
 	if err != nil {
-		return "", objectapi.NewError("InvalidArgument", "The continuation token provided is incorrect")
+		return "", objectapi.NewError(objectapi.CodeInvalidArgument, "The continuation token provided is incorrect")
 	}
 	return string(b), nil
 }
--- a/gateway/requestbody.go
+++ b/gateway/requestbody.go
@@ -17,7 +17,7 @@
 func (t *transaction) receiveBody(r *http1.Request, auth *sigv4.Auth) {
 	limits := t.conn.worker.gateway.cfg.Limits
 	if !r.HasLength && !r.Chunked && t.op.Kind != objectapi.CreateBucket {
-		t.respondErrorCode(objectapi.NewError("MissingContentLength", "You must provide the Content-Length HTTP header."))
+		t.respondErrorCode(objectapi.NewError(objectapi.CodeMissingContentLength, "You must provide the Content-Length HTTP header."))
 		return
 	}
 	body, err := payload.New(r, auth)
@@ -32,7 +32,7 @@
 		maxLength = maxObject
 	}
 	if body.Length > maxLength {
-		t.respondErrorCode(objectapi.NewError("EntityTooLarge", "Your proposed upload exceeds the maximum allowed size."))
+		t.respondErrorCode(objectapi.NewError(objectapi.CodeEntityTooLarge, "Your proposed upload exceeds the maximum allowed size."))
 		return
 	}
 	if t.op.Kind.Streams() && (body.Length < 0 || body.Length > int64(limits.Replay)) {
@@ -68,7 +68,7 @@
 		return used
 	case len(t.buffered) > c.worker.gateway.cfg.Limits.Document:
 		t.closeConn = true
-		t.rejectBody(objectapi.NewError("EntityTooLarge", "The document is larger than is taken here."))
+		t.rejectBody(objectapi.NewError(objectapi.CodeEntityTooLarge, "The document is larger than is taken here."))
 		return used
 	case done:
 		t.bodyComplete = true
@@ -96,7 +96,7 @@
 	case errors.As(err, &apiErr):
 		t.rejectBody(apiErr)
 	case errors.As(err, &httpErr):
-		t.rejectBody(objectapi.NewError("InvalidRequest", "The body is not valid HTTP: "+httpErr.Reason))
+		t.rejectBody(objectapi.NewError(objectapi.CodeInvalidRequest, "The body is not valid HTTP: "+httpErr.Reason))
 	}
 }
 
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -80,7 +80,7 @@
 	seconds := int64((retryAfter + time.Second - 1) / time.Second)
 	h := http1.AppendHeader([]byte(xmlHeader), "Retry-After", strconv.FormatInt(max(seconds, 1), 10))
 	h = http1.AppendHeader(h, "x-chalkstand-retry-after-ms", strconv.FormatInt(retryAfter.Milliseconds(), 10))
-	e := objectapi.NewError("SlowDown", "Please reduce your request rate.")
+	e := objectapi.NewError(objectapi.CodeSlowDown, "Please reduce your request rate.")
 	t.outcome = attribution.Rejected
 	t.respond(http.StatusServiceUnavailable, h, e.Document(t.resource, t.id))
 }
@@ -89,12 +89,12 @@
 func (t *transaction) respondFailure(timedOut bool) {
 	t.outcome = attribution.Failed
 	if timedOut {
-		e := objectapi.NewError("GatewayTimeout",
+		e := objectapi.NewError(objectapi.CodeGatewayTimeout,
 			"The storage node did not answer in time; whether the request was done is not known.")
 		t.respondError(e, http.StatusGatewayTimeout)
 		return
 	}
-	e := objectapi.NewError("InternalError",
+	e := objectapi.NewError(objectapi.CodeInternalError,
 		"We encountered an internal error; whether the request was done is not known.")
 	t.respondError(e, http.StatusInternalServerError)
 }
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -143,7 +143,7 @@
 	default:
 		u.abort()
 		t.closeConn = true
-		t.rejectBody(objectapi.NewError("RequestTimeout",
+		t.rejectBody(objectapi.NewError(objectapi.CodeRequestTimeout,
 			"Your socket connection to the server was not read from or written to within the timeout period."))
 	}
 }
