--- a/fake/storagenode/objects.go
+++ b/fake/storagenode/objects.go
@@ -138,7 +138,7 @@
 		"Accept-Ranges": "bytes",
 	}
 	if err := readCondition(r.Header, "", ob); err != nil {
-		if err.Code == "NotModified" {
+		if err.Code == objectapi.CodeNotModified {
 			return response{status: http.StatusNotModified, header: h}, nil
 		}
 		return response{}, err
--- a/gateway/clientconn.go
+++ b/gateway/clientconn.go
@@ -152,11 +152,11 @@
 func parseErrorCode(status int) string {
 	switch status {
 	case http.StatusNotImplemented:
-		return "NotImplemented"
+		return objectapi.CodeNotImplemented
 	case http.StatusRequestHeaderFieldsTooLarge, http.StatusRequestURITooLong:
 		return "RequestHeaderSectionTooLarge"
 	}
-	return "InvalidRequest"
+	return objectapi.CodeInvalidRequest
 }
 
 // closeAfterResponse closes the connection once all is written. The client's input is read and discarded
--- a/gateway/deleteobjects.go
+++ b/gateway/deleteobjects.go
@@ -38,7 +38,7 @@
 				result.Error = append(result.Error, deleted.Error...)
 				continue
 			}
-			if apiErr.Code == "NoSuchBucket" {
+			if apiErr.Code == objectapi.CodeNoSuchBucket {
 				t.respondErrorCode(apiErr)
 				return
 			}
