--- a/lab/faultinjection/faultinjection.go
+++ b/lab/faultinjection/faultinjection.go
@@ -15,6 +15,7 @@
 	"chalkstand/dispatch"
 	"chalkstand/fake/storagenode"
 	"chalkstand/lab/invariants"
+	"chalkstand/lab/stall"
 )
 
 // maxClients is how many requests are in progress at a time; more are dropped, not queued.
@@ -28,6 +29,7 @@
 	volumes      []string
 	largeObjects map[string][]byte // by path; never written again
 	clients      chan struct{}     // one element for each client
+	stalls       *stall.Monitor    // of the machine
 	wg           sync.WaitGroup
 
 	mu       sync.Mutex
@@ -56,6 +58,7 @@
 	defer cancel()
 	r := newRun(o)
 	defer r.close()
+	r.stalls = stall.Start(runCtx)
 	if err := r.start(runCtx); err != nil {
 		return nil, err
 	}
--- a/lab/faultinjection/report.go
+++ b/lab/faultinjection/report.go
@@ -17,10 +17,11 @@
 	Duration      time.Duration
 	Script        Script
 	Classes       []ClassReport
-	Attempts      int // at nodes
-	Retries       int // attempts after the first
-	Repeats       int // dropped by nodes' deduplication
-	LateResponses int // of nodes, to attempts that were canceled before
+	Attempts      int           // at nodes
+	Retries       int           // attempts after the first
+	Repeats       int           // dropped by nodes' deduplication
+	LateResponses int           // of nodes, to attempts that were canceled before
+	LongestStall  time.Duration // of the machine
 	Violations    []invariants.Violation
 
 	log *invariants.Log
@@ -55,6 +56,8 @@
 		Script:     r.options.Script,
 		Violations: invariants.Check(r.params, &r.log),
 		log:        &r.log,
+
+		LongestStall: r.stalls.Longest(),
 	}
 	site := siteSettings(r.options, 0)
 	for _, c := range site.Classes {
@@ -121,8 +124,8 @@
 			c.quantile(50), c.quantile(99))
 	}
 	fmt.Fprintf(w, "\nat nodes: %d attempts, %d of them retries, %d repeats dropped, "+
-		"%d completed after they were canceled\n\n",
-		r.Attempts, r.Retries, r.Repeats, r.LateResponses)
+		"%d completed after they were canceled; longest stall of the machine %v\n\n",
+		r.Attempts, r.Retries, r.Repeats, r.LateResponses, r.LongestStall.Round(time.Millisecond))
 	for _, name := range invariants.All {
 		if r.log.WriteViolations(w, name, r.Violations) == 0 {
 			fmt.Fprintf(w, "kept   %s\n", name)
--- a/lab/soak/report.go
+++ b/lab/soak/report.go
@@ -23,6 +23,7 @@
 	Before     usage
 	After      usage
 	OwnTime    time.Duration // from SIGTERM to the program's end
+	Stall      time.Duration // the longest of the machine
 	Violations []invariants.Violation
 
 	log        *invariants.Log
@@ -40,6 +41,7 @@
 		Before:     r.before,
 		After:      r.after,
 		OwnTime:    r.ownTime,
+		Stall:      r.stalls.Longest(),
 		Violations: violations,
 		log:        log,
 		programLog: r.process.log(),
@@ -65,10 +67,10 @@
 // Write prints a line with figures, and for each violation the records of clients and nodes.
 func (r *Report) Write(w io.Writer) {
 	fmt.Fprintf(w, "soak %s, seed %d: %d requests: %d served, %d rejected, %d failed, %d canceled; %d attempts; "+
-		"descriptors %d to %d, memory %.0f to %.0f MiB; ended %v after SIGTERM; %d violations\n",
+		"descriptors %d to %d, memory %.0f to %.0f MiB; ended %v after SIGTERM; longest stall %v; %d violations\n",
 		r.Program, r.Seed, r.Requests, r.Served, r.Rejected, r.Failed, r.Canceled, r.Attempts,
 		r.Before.Descriptors, r.After.Descriptors, r.Before.MemoryMiB, r.After.MemoryMiB,
-		r.OwnTime.Round(time.Millisecond), len(r.Violations))
+		r.OwnTime.Round(time.Millisecond), r.Stall.Round(time.Millisecond), len(r.Violations))
 	if len(r.Violations) == 0 {
 		return
 	}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"chalkstand/lab/invariants"
+	"chalkstand/lab/stall"
 )
 
 // Times of the program's start, in which nothing is checked but that it comes up.
@@ -47,6 +48,7 @@
 	system  system
 	process *process
 	clients clientLog
+	stalls  *stall.Monitor // of the machine
 
 	startedAt time.Duration // the program serves
 	stoppedAt atomic.Int64  // time of SIGTERM as a time.Duration; 0: not yet
@@ -72,6 +74,9 @@
 		return nil, err
 	}
 	defer r.system.close()
+	monitorCtx, stopMonitor := context.WithCancel(ctx)
+	defer stopMonitor()
+	r.stalls = stall.Start(monitorCtx)
 	r.progress("%s", r.plan.String())
 	if err := r.play(ctx, filepath.Join(dir, "config")); err != nil {
 		return nil, err
--- a/layering_test.go
+++ b/layering_test.go
@@ -65,6 +65,7 @@
 	"lab/faultinjection":         servers,
 	"lab/invariants":             servers,
 	"lab/mutation":               servers,
+	"lab/stall":                  servers,
 	"lab/soak":                   servers,
 	"lab/schedulereplay":         servers,
 	"lab/sigv4client":            servers,
