soak: a program that ends before it reads its configuration is reported

Change: the pipe is opened without blocking for as long as the process lives; the process is ended before its error is read. Programs, checks and bounds are unchanged.

--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -148,9 +148,17 @@
 	return heldFile{path, text}, syscall.Mkfifo(path, 0o600)
 }
 
-// serve waits for the reader, calls held, replaces the pipe by a file and gives the reader the content.
-func (h heldFile) serve(held func()) error {
-	w, err := os.OpenFile(h.path, os.O_WRONLY, 0)
+// serve waits for the reader, calls held, replaces the pipe by a file and gives the reader the content. It
+// does nothing where the program ends before it reads.
+func (h heldFile) serve(p *process, held func()) error {
+	w, err := h.open()
+	for errors.Is(err, syscall.ENXIO) && !p.hasEnded() { // nobody reads yet
+		time.Sleep(time.Millisecond)
+		w, err = h.open()
+	}
+	if errors.Is(err, syscall.ENXIO) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -162,6 +170,11 @@
 	return errors.Join(err, w.Close())
 }
 
+// open opens the pipe for writing. The error is ENXIO while nobody reads.
+func (h heldFile) open() (*os.File, error) {
+	return os.OpenFile(h.path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+}
+
 // replaceFile replaces a file at once, so that no reader finds a part of it.
 func replaceFile(path string, text []byte) error {
 	next := path + ".next"
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -142,15 +142,15 @@
 		return err
 	}
 	if r.plan.StartHangup {
-		err = held.serve(func() { r.process.hangUp(startHangups, startHangupGap) })
+		err = held.serve(r.process, func() { r.process.hangUp(startHangups, startHangupGap) })
 		if err != nil && !errors.Is(err, syscall.EPIPE) { // the program has ended: reported below
 			r.process.kill()
 			return err
 		}
 	}
 	if !r.awaitServing(ctx) {
+		r.process.kill() // its err is not set before it has ended
 		r.report(EndsInTime, "the program does not serve: %v", r.process.err)
-		r.process.kill()
 		return nil
 	}
 	sleep(ctx, settleTime)
