--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -19,7 +19,8 @@
 
 // scenarios holds the cases by name.
 var scenarios = map[string]scenario{
-	"drain": playDrain,
+	"drain":   playDrain,
+	"restart": playRestart,
 }
 
 const (
