Review, case 2: one bad client drives the dispatcher over its memory limit

Behind an open request each answer waits in the connection's pipeline as an entry of its own. Object commands are bounded there; answers to PING and refusals are not, and their entries are not counted as memory.

Change: review/2 shows it: one client sends a write for a silent storage server and then hundreds of PING at once, again and again. The platform kills the dispatcher over its limit of 64 MB.

--- a/review/testdata/standin/drain.go
+++ b/review/testdata/standin/drain.go
@@ -63,7 +63,7 @@
 		if trouble {
 			playReplacement(rec, disc, entries[replacedShard], replacement, time.Since(start))
 		}
-		clients.Go(func() { askOnce(rec, disp.listen, drainRequest(n)) })
+		clients.Go(func() { askOnce(rec, disp.listen, usualRequest(n, drainShards)) })
 		time.Sleep(drainInterval)
 	}
 	clients.Wait()
@@ -113,14 +113,14 @@
 	}
 }
 
-// drainRequest returns the n-th request. Reads and writes alternate, and the requests go round the
-// shards.
-func drainRequest(n int) *request {
+// usualRequest returns the n-th request of the usual clients. The requests go round the shards. One
+// round reads, and the next one writes.
+func usualRequest(n, shards int) *request {
 	r := &request{
-		id: newRequestID(), class: "read", plan: "standard", shard: n % drainShards,
+		id: newRequestID(), class: "read", plan: "standard", shard: n % shards,
 		units: 2, volume: n % 8, wait: 1500 * time.Millisecond,
 	}
-	if n/drainShards%2 == 1 {
+	if n/shards%2 == 1 {
 		r.class, r.body, r.wait = "save", "body of "+r.id, 4*time.Second
 	}
 	return r
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -21,6 +21,7 @@
 var scenarios = map[string]scenario{
 	"drain":   playDrain,
 	"restart": playRestart,
+	"memory":  playMemory,
 }
 
 const (
