--- a/review/testdata/standin/drain.go
+++ b/review/testdata/standin/drain.go
@@ -73,10 +73,13 @@
 	rec.line("discovery: %d watches were opened", disc.watchCount())
 	rec.line("server %s: %d commands, server %s: %d commands", servers[replacedShard].id,
 		len(servers[replacedShard].commands()), replacement.id, len(replacement.commands()))
+	if len(servers[replacedShard].commands()) == 0 {
+		return fmt.Errorf("server %s got nothing, so nothing can be told", servers[replacedShard].id)
+	}
 	if trouble {
 		judgeDrain(rec, servers[replacedShard], disc.firstChange())
 	}
-	return nil
+	return rec.anyServed()
 }
 
 // startServers starts a storage server for each shard and returns them with their entries in
@@ -142,6 +145,9 @@
 		return
 	}
 	rec.line("client: id=%s answer %s %.60s", r.id, a.text, a.value)
+	if a.served {
+		rec.noteServed()
+	}
 }
 
 // judgeDrain checks that a server got nothing new after the change counts as told and the grace is
--- a/review/testdata/standin/memory.go
+++ b/review/testdata/standin/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"sync"
 	"syscall"
@@ -59,17 +60,26 @@
 			}
 		}
 	})
+	var badClient error // why the bad client could not play its part; valid once badClientDone is closed
+	badClientDone := make(chan struct{})
 	if trouble {
 		time.AfterFunc(silentAt, func() {
 			rec.line("server %s: answers none from now on", servers[silentShard].id)
 			servers[silentShard].setSilent(true)
 		})
-		time.AfterFunc(badClientAt, func() { sendAtFullSpeed(rec, disp.listen) })
+		time.AfterFunc(badClientAt, func() {
+			badClient = sendAtFullSpeed(rec, disp.listen)
+			close(badClientDone)
+		})
 	}
 	err = watchMemory(rec, disp, start.Add(memoryEnd))
 	close(stop)
 	clients.Wait()
-	return err
+	if trouble {
+		<-badClientDone
+		err = errors.Join(err, badClient)
+	}
+	return errors.Join(err, rec.anyServed())
 }
 
 // watchMemory plays the part of the platform that kills a dispatcher which is over its memory limit.
@@ -77,12 +87,14 @@
 	noted, peak := 0, 0
 	for ; time.Now().Before(until); time.Sleep(sampleInterval) {
 		memory, err := disp.memory()
-		if disp.hasEnded() {
-			rec.violation("crash: the dispatcher ended by itself: %v", disp.err)
-			return nil
-		}
-		if err != nil {
-			return err
+		if err != nil { // a process that has ended has no memory to read
+			select {
+			case <-disp.ended:
+				rec.violation("crash: the dispatcher ended by itself: %v", disp.err)
+				return nil
+			case <-time.After(stopTimeout):
+				return err
+			}
 		}
 		peak = max(peak, memory)
 		if memory > noted+notedMemoryStep || memory < noted-notedMemoryStep {
@@ -101,12 +113,11 @@
 }
 
 // sendAtFullSpeed sends a write for the silent server and then hundreds of commands at once, again and
-// again. It reads whatever comes.
-func sendAtFullSpeed(rec *record, addr string) {
+// again. It reads whatever comes. It returns an error if it could not send the write.
+func sendAtFullSpeed(rec *record, addr string) error {
 	c, err := dialDispatcher(addr)
 	if err != nil {
-		rec.line("bad client: cannot connect: %v", err)
-		return
+		return fmt.Errorf("the bad client cannot connect: %w", err)
 	}
 	defer c.close()
 	r := &request{
@@ -124,7 +135,7 @@
 		}
 	}()
 	if _, err := c.conn.Write(r.bytes()); err != nil {
-		return
+		return fmt.Errorf("the bad client cannot write: %w", err)
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(r.wait))
 	burst := bytes.Repeat(command("PING"), commandsAtOnce)
@@ -133,4 +144,5 @@
 		_, err = c.conn.Write(burst)
 	}
 	rec.line("bad client: has sent %s commands behind its request", fmt.Sprint(sent*commandsAtOnce))
+	return nil
 }
--- a/review/testdata/standin/record.go
+++ b/review/testdata/standin/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"os"
 	"sync"
@@ -16,6 +17,7 @@
 	out        *bufio.Writer
 	start      time.Time
 	violations int
+	served     int // requests of usual clients that were served
 }
 
 func openRecord(path string) (*record, error) {
@@ -57,6 +59,27 @@
 	return r.violations
 }
 
+// noteServed counts a request of a usual client that was served.
+func (r *record) noteServed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.served++
+}
+
+// anyServed returns an error if no request of a usual client was served. A rule that held without
+// traffic shows nothing.
+func (r *record) anyServed() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.served == 0 {
+		return errNoTraffic
+	}
+	return nil
+}
+
+// errNoTraffic is the error for a case in which no request was served.
+var errNoTraffic = errors.New("no request of a usual client was served")
+
 func (r *record) close() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
