Review: the stand-ins end their dispatcher on a signal, and wait for it

Cause: a script that was ended by a signal left its dispatcher dead but not waited for, for a moment.

--- a/review/testdata/standin/dispatcher.go
+++ b/review/testdata/standin/dispatcher.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -90,6 +91,7 @@
 		d.err = d.command.Wait()
 		close(d.ended)
 	}()
+	d.endWithSignal()
 	if err := d.awaitReady(); err != nil {
 		d.kill()
 		return nil, err
@@ -98,6 +100,17 @@
 	return d, nil
 }
 
+// endWithSignal makes a signal to this program end the dispatcher before the program itself.
+func (d *dispatcher) endWithSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		d.kill()
+		os.Exit(exitNotRun)
+	}()
+}
+
 // freeAddr returns a free address on loopback.
 func freeAddr() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
