respserver: replies that wait for an earlier one are bounded in entries and bytes

Cause: reply appended an entry to the pipeline for each command that starts no request. maxPipelined was checked for object commands alone, the retained bytes counted 7 bytes of +PONG and not the entry, and reading paused for unsent output alone. completeReply kept node replies of up to 64 KiB without a look at the limit.

Change: consecutive replies share an entry; reading pauses at 16 KiB of them per connection, or with some of them while the memory for retained bytes is used up, and goes on when the earlier replies have left; a node's reply that has to wait and does not fit becomes an error. The request at the head ends by its deadline, so a paused connection always goes on and each command gets its reply. Replies have a file of their own.

--- a/respserver/clients.go
+++ b/respserver/clients.go
@@ -14,7 +14,7 @@
 
 // These constants bound what one client connection may use.
 const (
-	maxPipelined    = 64        // maximum number of commands without a reply
+	maxPipelined    = 64        // the server rejects further object commands while its pipeline has this many entries
 	maxUnsentBytes  = 128 << 10 // the server reads no further command while more bytes of replies are unsent
 	maxBadCommands  = 16        // the server closes the connection after this many error replies to commands
 	minEvictionIdle = 50 * time.Millisecond
@@ -36,7 +36,8 @@
 type client struct {
 	server       *Server
 	conn         *eventloop.Conn
-	pipeline     []*pendingReply // one entry per command without a reply, oldest first
+	pipeline     []*pendingReply // replies that are open or wait for an open one, oldest first
+	heldBytes    int             // bytes of the pipeline's replies to commands that started no request
 	lastActivity time.Duration   // time of the last command received or reply completed
 	lastReceived time.Duration   // time at which the last bytes arrived
 	sentCommand  bool            // whether the client has sent at least one whole command
@@ -50,13 +51,6 @@
 	writeClosedAt time.Duration
 }
 
-// pendingReply reserves the place of a reply in a client's pipeline.
-type pendingReply struct {
-	request *request // nil if the command starts no request
-	done    bool
-	reply   []byte // the completed reply while it waits for earlier replies
-}
-
 // accept takes over a new client connection. At or above the high-water mark, accept first evicts
 // idle connections. At the connection limit, it closes the new connection if it can evict no other.
 func (s *Server) accept(fd int, _ unix.Sockaddr) {
@@ -145,21 +139,19 @@
 	cl.partialSince = 0
 	cl.lastActivity = cl.lastReceived
 	cl.execute(args)
-	if conn.BufferedOutput() > maxUnsentBytes {
+	if cl.repliesPending() {
 		conn.Pause()
 	}
 	return n
 }
 
 // OnDrained resumes reading after the kernel has accepted all replies.
-func (cl *client) OnDrained(conn *eventloop.Conn) {
+func (cl *client) OnDrained(*eventloop.Conn) {
 	cl.lastActivity = cl.server.now()
 	if cl.writeClosed {
 		cl.writeClosedAt = cl.lastActivity
 	}
-	if conn.Paused() && !cl.discarding && !cl.draining {
-		conn.Resume()
-	}
+	cl.resumeReading()
 }
 
 // OnPeerClosed closes the connection when the client has closed its side, which cancels the client's
@@ -264,66 +256,6 @@
 	cl.closeWriteIfDone()
 }
 
-// replyLine replies to the last command with a one-line RESP value.
-func (cl *client) replyLine(kind resp.Kind, text string) {
-	s := cl.server
-	s.writeBuffer = resp.AppendLine(s.writeBuffer[:0], kind, text)
-	cl.reply(s.writeBuffer)
-}
-
-// reply replies to the last command. The reply is sent after the replies to all earlier commands.
-func (cl *client) reply(b []byte) {
-	if len(cl.pipeline) == 0 {
-		cl.conn.Write(b)
-		return
-	}
-	pending := &pendingReply{}
-	cl.pipeline = append(cl.pipeline, pending)
-	cl.completeReply(pending, b)
-}
-
-// completeReply fills the place of a reply in the pipeline. It writes all completed replies at the
-// head of the pipeline. If the reply has to wait for earlier replies, completeReply keeps a copy.
-func (cl *client) completeReply(pending *pendingReply, b []byte) {
-	pending.done = true
-	if len(cl.pipeline) == 0 || !cl.conn.Open() {
-		return // the client has disconnected or a write has failed, and OnClose clears the pipeline
-	}
-	s := cl.server
-	cl.lastActivity = s.now()
-	if cl.pipeline[0] != pending {
-		pending.reply = slices.Clone(b)
-		s.retainedBytes += len(b)
-		return
-	}
-	cl.conn.Write(b)
-	cl.pipeline = cl.pipeline[1:]
-	for len(cl.pipeline) > 0 && cl.pipeline[0].done {
-		head := cl.pipeline[0]
-		cl.pipeline = cl.pipeline[1:]
-		s.retainedBytes -= len(head.reply)
-		cl.conn.Write(head.reply)
-	}
-	if len(cl.pipeline) == 0 {
-		cl.pipeline = nil
-	}
-	cl.closeWriteIfDone()
-}
-
-// closeWriteIfDone half-closes the connection if the server starts no further command on it and has
-// completed all its replies. The server goes on to read and discard input for lingerTimeout, because
-// closing a socket with unread input resets the connection and destroys replies in transit.
-func (cl *client) closeWriteIfDone() {
-	closing := cl.discarding || cl.draining
-	if !closing || len(cl.pipeline) > 0 || cl.writeClosed {
-		return
-	}
-	cl.discarding = true
-	cl.writeClosed = true
-	cl.writeClosedAt = cl.server.now()
-	cl.conn.CloseWrite()
-}
-
 // sweepClients closes the client connections that have reached a timeout. It resumes the connections
 // whose input is discarded, so that each of them is read once per sweep.
 func (s *Server) sweepClients(now time.Duration) {
--- a/respserver/export_test.go
+++ b/respserver/export_test.go
@@ -39,6 +39,20 @@
 	return s.retainedBytes, len(s.requests), len(s.requestsByClientID)
 }
 
+// SetMaxRetainedBytes sets the maximum number of bytes that the server retains. It must be called on
+// the event loop.
+func (s *Server) SetMaxRetainedBytes(bytes int) { s.maxRetainedBytes = bytes }
+
+// ClientsPaused reports whether the server has stopped reading from all its clients.
+func (s *Server) ClientsPaused() bool {
+	for _, cl := range s.clients {
+		if !cl.conn.Paused() {
+			return false
+		}
+	}
+	return true
+}
+
 // StartedRequests returns how many requests the server has started.
 func (s *Server) StartedRequests() int { return int(s.lastRequestID) }
 
--- /dev/null
+++ b/respserver/replies.go
@@ -0,0 +1,136 @@
+package respserver
+
+import (
+	"slices"
+
+	"chalkstand/internal/resp"
+)
+
+// maxHeldBytes bounds the replies to commands that start no request, such as PING, while they wait for
+// the reply to an earlier request. The server reads no further command from a connection that holds
+// more bytes of them, so that TCP flow control stops the client.
+const maxHeldBytes = 16 << 10
+
+// memoryFailure is the reply that takes the place of a reply for which the server has no memory.
+const memoryFailure = "-ERR failed: too many replies wait for earlier ones\r\n"
+
+// pendingReply is an entry of a client's pipeline. It reserves the place of the reply to a request, or
+// it holds the replies to the commands between two requests.
+type pendingReply struct {
+	request *request // nil if the entry holds replies to commands that started no request
+	done    bool
+	reply   []byte // the completed replies while they wait for earlier replies
+}
+
+// replyLine replies to the last command with a one-line RESP value.
+func (cl *client) replyLine(kind resp.Kind, text string) {
+	s := cl.server
+	s.writeBuffer = resp.AppendLine(s.writeBuffer[:0], kind, text)
+	cl.reply(s.writeBuffer)
+}
+
+// reply replies to the last command, which has started no request. The reply is sent after the replies
+// to all earlier commands. Consecutive replies share an entry of the pipeline.
+func (cl *client) reply(b []byte) {
+	if !cl.conn.Open() {
+		return // a write has failed, and OnClose clears the pipeline
+	}
+	if len(cl.pipeline) == 0 {
+		cl.conn.Write(b)
+		return
+	}
+	cl.lastActivity = cl.server.now()
+	last := cl.pipeline[len(cl.pipeline)-1]
+	if last.request != nil {
+		last = &pendingReply{done: true}
+		cl.pipeline = append(cl.pipeline, last)
+	}
+	last.reply = append(last.reply, b...)
+	cl.heldBytes += len(b)
+	cl.server.retainedBytes += len(b)
+}
+
+// completeReply fills the place of a request's reply in the pipeline. It writes all completed replies
+// at the head of the pipeline. If the reply has to wait for earlier replies, completeReply keeps a copy.
+func (cl *client) completeReply(pending *pendingReply, b []byte) {
+	pending.done = true
+	if len(cl.pipeline) == 0 || !cl.conn.Open() {
+		return // the client has disconnected or a write has failed, and OnClose clears the pipeline
+	}
+	cl.lastActivity = cl.server.now()
+	if cl.pipeline[0] != pending {
+		cl.retainReply(pending, b)
+		return
+	}
+	cl.conn.Write(b)
+	cl.removeHead()
+	for len(cl.pipeline) > 0 && cl.pipeline[0].done {
+		cl.writeHead()
+	}
+	if len(cl.pipeline) == 0 {
+		cl.pipeline = nil
+	}
+	cl.closeWriteIfDone()
+	cl.resumeReading()
+}
+
+// retainReply keeps a copy of a request's reply that has to wait for earlier replies. If the server
+// would retain too many bytes, an error reply takes the place of the reply.
+func (cl *client) retainReply(pending *pendingReply, b []byte) {
+	s := cl.server
+	if s.retainedBytes+len(b) > s.maxRetainedBytes && len(b) > len(memoryFailure) {
+		pending.reply = []byte(memoryFailure)
+	} else {
+		pending.reply = slices.Clone(b)
+	}
+	s.retainedBytes += len(pending.reply)
+}
+
+// writeHead writes the completed replies at the head of the pipeline.
+func (cl *client) writeHead() {
+	head := cl.pipeline[0]
+	cl.server.retainedBytes -= len(head.reply)
+	if head.request == nil {
+		cl.heldBytes -= len(head.reply)
+	}
+	cl.conn.Write(head.reply)
+	cl.removeHead()
+}
+
+// removeHead removes the head of the pipeline. It clears the slot, because the array behind the
+// pipeline would keep the reply in memory.
+func (cl *client) removeHead() {
+	cl.pipeline[0] = nil
+	cl.pipeline = cl.pipeline[1:]
+}
+
+// repliesPending reports whether so many bytes of replies wait that the server must read no further
+// command from the connection.
+func (cl *client) repliesPending() bool {
+	s := cl.server
+	outOfMemory := cl.heldBytes > 0 && s.retainedBytes > s.maxRetainedBytes
+	return cl.conn.BufferedOutput() > maxUnsentBytes || cl.heldBytes > maxHeldBytes || outOfMemory
+}
+
+// resumeReading resumes reading from a connection that was paused because of its replies, once the
+// kernel has accepted all its output.
+func (cl *client) resumeReading() {
+	closing := cl.discarding || cl.draining
+	if cl.conn.Paused() && !closing && cl.conn.BufferedOutput() == 0 && !cl.repliesPending() {
+		cl.conn.Resume()
+	}
+}
+
+// closeWriteIfDone half-closes the connection if the server starts no further command on it and has
+// completed all its replies. The server goes on to read and discard input for lingerTimeout, because
+// closing a socket with unread input resets the connection and destroys replies in transit.
+func (cl *client) closeWriteIfDone() {
+	closing := cl.discarding || cl.draining
+	if !closing || len(cl.pipeline) > 0 || cl.writeClosed {
+		return
+	}
+	cl.discarding = true
+	cl.writeClosed = true
+	cl.writeClosedAt = cl.server.now()
+	cl.conn.CloseWrite()
+}
