respserver: a graceful shutdown reads commands that are being written to their end

Cause: advanceShutdown drained each connection that was not paused. drain half-closes a connection without an open request and discards its input, also when a part of a command has been read.

Change: a connection is drained between commands only. Shortly before the forced termination, a command that is still incomplete is rejected, and so is one that gets complete from then on. The test hook that runs a function on the loop no longer hangs once the loop has ended.

--- a/respserver/clients.go
+++ b/respserver/clients.go
@@ -206,7 +206,7 @@
 }
 
 // startRequest starts the request of an object command. It replies BUSY if the client's pipeline is
-// full or the server would retain too many bytes.
+// full, if the server would retain too many bytes or if a graceful shutdown is about to end.
 func (cl *client) startRequest(args [][]byte) {
 	s := cl.server
 	command, err := s.schema.Parse(args)
@@ -219,7 +219,7 @@
 		return
 	}
 	size := len(command.Piece) + len(command.ID) + len(command.Fields) + len(command.Body)
-	if len(cl.pipeline) >= maxPipelined || s.retainedBytes+size > s.maxRetainedBytes {
+	if s.rejecting || len(cl.pipeline) >= maxPipelined || s.retainedBytes+size > s.maxRetainedBytes {
 		cl.reply(s.busyReply(s.cfg.Settings.Dispatch.MaxRetryAfter))
 		return
 	}
--- a/respserver/export_test.go
+++ b/respserver/export_test.go
@@ -8,13 +8,14 @@
 )
 
 // RunOnLoop runs f on the server's event loop and waits until f returns. Bytes that clients and nodes
-// send in the meantime stay in the kernel until the loop continues.
+// send in the meantime stay in the kernel until the loop continues. If the loop has ended, RunOnLoop does
+// not run f.
 func (s *Server) RunOnLoop(f func()) {
 	done := make(chan struct{})
-	s.loop.Post(func() {
+	s.loop.PostOrDrop(func() {
 		defer close(done)
 		f()
-	})
+	}, func() { close(done) })
 	<-done
 }
 
@@ -91,6 +92,14 @@
 	return n
 }
 
+// BufferedInput returns how many bytes of incomplete commands the server holds.
+func (s *Server) BufferedInput() (n int) {
+	for _, cl := range s.clients {
+		n += cl.conn.BufferedInput()
+	}
+	return n
+}
+
 // UnsentBytes returns how many bytes of replies the kernel has not accepted yet.
 func (s *Server) UnsentBytes() (n int) {
 	for _, cl := range s.clients {
--- a/respserver/server.go
+++ b/respserver/server.go
@@ -75,6 +75,7 @@
 	shuttingDown     bool
 	shutdownStarted  time.Duration
 	listenerClosedAt time.Duration // time at which a graceful shutdown closed the listener; 0 while it is open
+	rejecting        bool          // whether the server rejects all requests shortly before the end of a graceful shutdown
 	stopped          bool          // whether the server has started to stop the event loop
 }
 
--- a/respserver/shutdown.go
+++ b/respserver/shutdown.go
@@ -20,13 +20,14 @@
 	maxTerminationDelay = 3 * time.Second
 	terminationMargin   = 700 * time.Millisecond
 	failRequestsBefore  = 200 * time.Millisecond // all open requests fail this long before the forced termination
+	drainAllBefore      = 100 * time.Millisecond // all connections are drained this long before the forced termination
 	stopBefore          = 50 * time.Millisecond  // the event loop stops this long before the forced termination
 )
 
 // Shutdown starts a graceful shutdown and returns at once. The server continues to serve during the
-// grace period. Then it starts no further request, replies to the open requests and closes each
-// connection after its last reply. Run returns when the shutdown is complete. Further calls of
-// Shutdown have no effect.
+// grace period. Then it reads from a connection only until a command that has begun to arrive is
+// complete, replies to the open requests and closes each connection after its last reply. Run returns
+// when the shutdown is complete. Further calls of Shutdown have no effect.
 func (s *Server) Shutdown() {
 	s.loop.Post(func() {
 		if !s.shuttingDown {
@@ -59,17 +60,12 @@
 		return // connections that were accepted just before the listener closed must be read first
 	}
 	forcedTermination := s.forcedTermination()
-	overdue := now > forcedTermination-failRequestsBefore
-	if overdue {
+	if now > forcedTermination-failRequestsBefore {
+		s.rejecting = true
 		s.failOpenRequests()
+		s.rejectPartialCommands()
 	}
-	for _, cl := range slices.Clone(s.clients) {
-		// A paused connection may hold commands that were read but not started. It is drained only after
-		// these commands have started, unless the shutdown is overdue.
-		if !cl.draining && (overdue || !cl.conn.Paused()) {
-			cl.drain()
-		}
-	}
+	s.drainClients(now > forcedTermination-drainAllBefore)
 	if len(s.clients) == 0 || now > forcedTermination-stopBefore {
 		s.stopped = true
 		s.log.Info("graceful shutdown completed",
@@ -78,6 +74,34 @@
 	}
 }
 
+// drainClients drains the connections on which the server has read only whole commands and has started
+// all of them. A client that is in the middle of a command first gets the time to complete it: the
+// server has read a part, so the client cannot know that the command needs another connection. If all
+// is true, drainClients drains every connection.
+func (s *Server) drainClients(all bool) {
+	for _, cl := range slices.Clone(s.clients) {
+		if !cl.draining && (all || cl.betweenCommands()) {
+			cl.drain()
+		}
+	}
+}
+
+// betweenCommands reports whether the server has read no part of a command that it has not started. A
+// paused connection may hold commands that were read but not started.
+func (cl *client) betweenCommands() bool { return cl.partialSince == 0 && !cl.conn.Paused() }
+
+// rejectPartialCommands rejects the commands that are still incomplete shortly before the forced
+// termination. No node has received them, so a retry is harmless.
+func (s *Server) rejectPartialCommands() {
+	for _, cl := range slices.Clone(s.clients) {
+		if cl.partialSince > 0 && !cl.draining && !cl.discarding {
+			cl.partialSince = 0
+			cl.reply(s.busyReply(0))
+			cl.drain()
+		}
+	}
+}
+
 // failOpenRequests gives all open requests an error reply shortly before the forced termination.
 func (s *Server) failOpenRequests() {
 	for _, cl := range slices.Clone(s.clients) {
--- a/respserver/shutdown_test.go
+++ b/respserver/shutdown_test.go
@@ -211,3 +211,55 @@
 		t.Errorf("got %d calls to discovery at the new address, want none", len(calls))
 	}
 }
+
+// A client is in the middle of a command when a graceful shutdown begins, and it has an open request
+// before that. The server reads the rest of the command and replies to both. Before the fix, it read the
+// rest, discarded it and half-closed the connection without a reply.
+func TestShutdownWaitsForPartialCommand(t *testing.T) {
+	f := startFixture(t, 256)
+	f.node.SetNext(respnode.Behavior{Hang: true})
+	alone, behind := f.client(), f.client()
+	text := putCommand("alone", "body")
+	alone.send(text[:len(text)/2])
+	next := getCommand("next")
+	open := respnode.Command("OBJ.PUT", pieceID, "open", fieldList("c", "c=write", "d", "d=900"), "body")
+	behind.send(open + next[:len(next)/2])
+	f.waitOnLoop(func() bool { return f.server.PartialCommands() == 2 })
+	f.server.Shutdown()
+	f.passGracePeriod()
+	f.advance(time.Second) // past the timeout of the open request
+	behind.expectReply("-ERR failed")
+	alone.send(text[len(text)/2:])
+	behind.send(next[len(next)/2:])
+	alone.expectReply("$")
+	behind.expectReply(replyTo("next"))
+	f.advance(pastAcceptQueue)
+	for _, c := range []*client{alone, behind} {
+		c.expectClosed()
+		closeOrFail(t, c)
+	}
+	f.waitForStop()
+	f.expectCommands(3)
+}
+
+// A command is still incomplete shortly before the forced termination. The server rejects it, so that
+// its client gets a reply, and sends nothing to a node when the rest arrives.
+func TestPartialCommandBeforeForcedTermination(t *testing.T) {
+	f := startFixture(t, 256)
+	c := f.client()
+	text := getCommand("1")
+	c.send(text[:len(text)-20])
+	f.waitOnLoop(func() bool { return f.server.PartialCommands() == 1 })
+	f.server.Shutdown()
+	f.passGracePeriod()
+	f.advance(1400 * time.Millisecond)
+	c.send(text[len(text)-20 : len(text)-2]) // keeps the connection from its silence timeout
+	f.waitOnLoop(func() bool { return f.server.BufferedInput() == len(text)-2 })
+	f.advance(1450 * time.Millisecond) // the forced termination is 3.7 s after the start of the shutdown
+	c.expectReply("-BUSY")
+	c.send(text[len(text)-2:])
+	c.expectClosed()
+	closeOrFail(t, c)
+	f.waitForStop()
+	f.expectCommands(0)
+}
