respserver: discovery is watched also where the settings call the lists pushed

Cause: dispatch asks for a watch only with PollDiscovery, which simwire sets for on_request alone. That is right on the simulator's wire, where pushed lists arrive unasked; on sockets a call is the only way to a list.

Change: respserver sets PollDiscovery whatever the settings say. Dispatcher and simulator are as they were.

--- a/respserver/config.go
+++ b/respserver/config.go
@@ -264,8 +264,12 @@
 	if dialTimeout <= 0 {
 		dialTimeout = defaultDialTimeout
 	}
+	dispatchConfig := c.Settings.Dispatch
+	// Endpoint lists reach the server only through a discovery watch. A list that the settings call pushed
+	// is pushed to the simulator's dispatchers, and on sockets to the discovery service that the watch asks.
+	dispatchConfig.PollDiscovery = true
 	return forwarder.Config{
-		Dispatch:        c.Settings.Dispatch,
+		Dispatch:        dispatchConfig,
 		Seed:            c.Seed,
 		MaxConnsPerNode: max(c.maxNodeConns()/2, 1),
 		MaxConns:        c.maxNodeConns(),
--- a/respserver/fixture_test.go
+++ b/respserver/fixture_test.go
@@ -49,12 +49,19 @@
 
 // startFixture runs a server until the test ends. sockets is the server's limit on file descriptors.
 func startFixture(t *testing.T, sockets int) *fixture {
+	t.Helper()
+	return startEditedFixture(t, sockets, func(text string) string { return text })
+}
+
+// startEditedFixture is like startFixture. It passes the JSON text of the configuration through edit.
+func startEditedFixture(t *testing.T, sockets int, edit func(string) string) *fixture {
 	t.Helper()
 	f := &fixture{t: t, runErr: make(chan error, 1)}
 	f.node = startNode(t)
 	f.discovery = startDiscovery(t)
 	known := fakediscovery.Document(41, true, readyEndpoint("s1", f.node))
-	cfg, err := respserver.ParseConfig([]byte(configText(freeAddr(t), f.discovery.Addr(), known, sockets)))
+	text := edit(configText(freeAddr(t), f.discovery.Addr(), known, sockets))
+	cfg, err := respserver.ParseConfig([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/respserver/watch_test.go
+++ b/respserver/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +57,25 @@
 	}
 }
 
+// The server follows discovery also where the settings call the lists pushed. Before the fix, it used the
+// list of its configuration for as long as it ran, and a replaced node got requests for good.
+func TestDiscoveryWithPushedLists(t *testing.T) {
+	f := startEditedFixture(t, 256, func(text string) string {
+		return strings.Replace(text, `"discovery":"on_request"`, `"discovery":"pushed"`, 1)
+	})
+	successor := startNode(t)
+	f.expectRequestsReach(f.node)
+	f.sendUpdate(f.discovery, "")
+	draining := fakediscovery.Endpoint{ID: "s1", Addr: f.node.Addr(), State: "Terminating"}
+	f.sendUpdate(f.discovery, fakediscovery.Document(42, false, draining, readyEndpoint("s2", successor)))
+	f.waitOnLoop(func() bool { return f.server.EndpointVersion() == 42 })
+	before := len(f.node.Commands())
+	f.expectRequestsReach(successor)
+	f.expectCommands(before)
+	f.discovery.CloseWatches()
+	f.waitFor(func() bool { return len(f.discovery.Calls()) == 2 })
+}
+
 // loadConfigFile writes a configuration to a file and loads it.
 func loadConfigFile(t *testing.T, text string) respserver.Config {
 	t.Helper()
