--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -18,3 +18,20 @@
 	<-stopped
 	return func() { close(resume) }
 }
+
+// WriteToClients writes the end of a response to all client connections. It returns when the kernel has
+// accepted as much as it can hold.
+func (g *Gateway) WriteToClients(b []byte) {
+	written := make(chan struct{}, len(g.workers))
+	for _, w := range g.workers {
+		w.loop.Post(func() {
+			for c := range w.clients {
+				c.conn.Write(b)
+			}
+			written <- struct{}{}
+		})
+	}
+	for range g.workers {
+		<-written
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,13 +12,9 @@
 	"chalkstand/internal/eventloop"
 )
 
-const (
-	// sweepInterval is the interval at which each worker checks its connections for idle and slow
-	// peers. Their time limits are much longer.
-	sweepInterval = 100 * time.Millisecond
-	// drainPollInterval is the interval at which Drain checks whether all requests have responses.
-	drainPollInterval = 5 * time.Millisecond
-)
+// sweepInterval is the interval at which each worker checks its connections for idle and slow peers.
+// Their time limits are much longer.
+const sweepInterval = 100 * time.Millisecond
 
 // tooManyConns is the response that a client gets when the gateway has reached its connection limit
 // or is draining.
@@ -132,28 +128,6 @@
 	}
 }
 
-// Drain stops accepting connections and waits until all requests in flight have their responses. If
-// ctx ends first, Drain returns an error that wraps ctx.Err().
-func (g *Gateway) Drain(ctx context.Context) error {
-	g.draining.Store(true)
-	for _, w := range g.workers {
-		w.loop.Post(func() {
-			w.loop.StopListening()
-			w.closeIdleClients()
-		})
-	}
-	t := time.NewTicker(drainPollInterval)
-	defer t.Stop()
-	for g.inFlight.Load() > 0 {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return fmt.Errorf("gateway: %d requests still in flight: %w", g.inFlight.Load(), ctx.Err())
-		}
-	}
-	return nil
-}
-
 // Close stops the gateway at once and waits until its goroutines have ended. Requests in flight get
 // no response. Close always returns nil.
 func (g *Gateway) Close() error {
--- a/gateway/worker.go
+++ b/gateway/worker.go
@@ -110,16 +110,6 @@
 	w.loop.RetryAccept()
 }
 
-// closeIdleClients closes the client connections that have no request in progress and no buffered
-// bytes.
-func (w *loopWorker) closeIdleClients() {
-	for c := range w.clients {
-		if c.state == stateReading && c.conn.BufferedOutput() == 0 && c.conn.BufferedInput() == 0 {
-			c.conn.Close()
-		}
-	}
-}
-
 // nextTimer returns the time at which the loop must call onTimer next. It returns false if the worker
 // needs no timer.
 func (w *loopWorker) nextTimer() (time.Duration, bool) {
