respserver: replies that a client does not read count as retained bytes

Reading pauses at 128 KiB of unsent replies, but the up to 64 open requests of the connection went on to add 64 KiB each, and nothing counted them.

Change: unsent replies count as retained bytes. While these are used up, a reply to a client that has unread ones becomes an error, and new requests are rejected as before.

Measured: TestUnreadRepliesAreBounded fails before (4,382,918 unsent bytes of 1,048,576 and a reply per client) and passes; go test -race ./respserver passes.

--- a/respserver/clients.go
+++ b/respserver/clients.go
@@ -37,6 +37,7 @@
 	server       *Server
 	conn         *eventloop.Conn
 	pipeline     []*pendingReply // replies that are open or wait for an open one, oldest first
+	unsentBytes  int             // bytes of replies that the kernel has not accepted, as counted in the retained bytes
 	heldBytes    int             // bytes of the pipeline's replies to commands that started no request
 	lastActivity time.Duration   // time of the last command received or reply completed
 	lastReceived time.Duration   // time at which the last bytes arrived
@@ -148,6 +149,7 @@
 // OnDrained resumes reading after the kernel has accepted all replies.
 func (cl *client) OnDrained(*eventloop.Conn) {
 	cl.lastActivity = cl.server.now()
+	cl.countUnsentBytes()
 	if cl.writeClosed {
 		cl.writeClosedAt = cl.lastActivity
 	}
@@ -167,6 +169,7 @@
 func (cl *client) OnClose(*eventloop.Conn, error) {
 	s := cl.server
 	s.removeClient(cl)
+	cl.countUnsentBytes() // a closed connection has no unsent bytes
 	unanswered := cl.pipeline
 	cl.pipeline = nil
 	for _, pending := range unanswered {
@@ -219,7 +222,7 @@
 		return
 	}
 	size := len(command.Piece) + len(command.ID) + len(command.Fields) + len(command.Body)
-	if s.rejecting || len(cl.pipeline) >= maxPipelined || s.retainedBytes+size > s.maxRetainedBytes {
+	if s.rejecting || len(cl.pipeline) >= maxPipelined || s.exceedsMemory(size) {
 		cl.reply(s.busyReply(s.cfg.Settings.Dispatch.MaxRetryAfter))
 		return
 	}
@@ -260,6 +263,7 @@
 // whose input is discarded, so that each of them is read once per sweep.
 func (s *Server) sweepClients(now time.Duration) {
 	for _, cl := range slices.Clone(s.clients) {
+		cl.countUnsentBytes()
 		if cl.expired(now) {
 			cl.conn.Close()
 		} else if cl.discarding {
--- a/respserver/replies.go
+++ b/respserver/replies.go
@@ -62,6 +62,9 @@
 		cl.retainReply(pending, b)
 		return
 	}
+	if cl.conn.BufferedOutput() > 0 && cl.server.exceedsMemory(len(b)) {
+		b = shorter(b, memoryFailure) // the client reads too slowly
+	}
 	cl.conn.Write(b)
 	cl.removeHead()
 	for len(cl.pipeline) > 0 && cl.pipeline[0].done {
@@ -70,6 +73,7 @@
 	if len(cl.pipeline) == 0 {
 		cl.pipeline = nil
 	}
+	cl.countUnsentBytes()
 	cl.closeWriteIfDone()
 	cl.resumeReading()
 }
@@ -78,12 +82,30 @@
 // would retain too many bytes, an error reply takes the place of the reply.
 func (cl *client) retainReply(pending *pendingReply, b []byte) {
 	s := cl.server
-	if s.retainedBytes+len(b) > s.maxRetainedBytes && len(b) > len(memoryFailure) {
-		pending.reply = []byte(memoryFailure)
-	} else {
-		pending.reply = slices.Clone(b)
+	if s.exceedsMemory(len(b)) {
+		b = shorter(b, memoryFailure)
 	}
-	s.retainedBytes += len(pending.reply)
+	pending.reply = slices.Clone(b)
+	s.retainedBytes += len(b)
+}
+
+// exceedsMemory reports whether the server would retain too many bytes with size bytes more.
+func (s *Server) exceedsMemory(size int) bool { return s.retainedBytes+size > s.maxRetainedBytes }
+
+// shorter returns the shorter one of a reply and the error that may take its place.
+func shorter(reply []byte, failure string) []byte {
+	if len(reply) <= len(failure) {
+		return reply
+	}
+	return []byte(failure)
+}
+
+// countUnsentBytes updates the connection's part in the server's retained bytes: the replies that the
+// kernel has not accepted.
+func (cl *client) countUnsentBytes() {
+	unsent := cl.conn.BufferedOutput()
+	cl.server.retainedBytes += unsent - cl.unsentBytes
+	cl.unsentBytes = unsent
 }
 
 // writeHead writes the completed replies at the head of the pipeline.
@@ -108,7 +130,7 @@
 // command from the connection.
 func (cl *client) repliesPending() bool {
 	s := cl.server
-	outOfMemory := cl.heldBytes > 0 && s.retainedBytes > s.maxRetainedBytes
+	outOfMemory := cl.heldBytes > 0 && s.exceedsMemory(0)
 	return cl.conn.BufferedOutput() > maxUnsentBytes || cl.heldBytes > maxHeldBytes || outOfMemory
 }
 
--- a/respserver/replies_test.go
+++ b/respserver/replies_test.go
@@ -79,3 +79,37 @@
 	}
 	f.expectNothingRetained()
 }
+
+// Replies that clients do not read stay within the memory for retained bytes, however many requests of
+// one connection are open.
+func TestUnreadRepliesAreBounded(t *testing.T) {
+	const reads, maxRetained = 60, 1 << 20
+	f := startFixture(t, 256)
+	f.server.RunOnLoop(func() { f.server.SetMaxRetainedBytes(maxRetained) })
+	f.node.SetDefault(respnode.Behavior{Reply: largeValueReply})
+	clients := []*client{f.client(), f.client()}
+	for _, c := range clients {
+		c.expectPong()
+	}
+	if err := f.server.ShrinkSendBuffers(); err != nil {
+		t.Fatal(err)
+	}
+	for range reads {
+		for _, c := range clients {
+			c.send(getCommand(f.nextID()))
+		}
+	}
+	largest := 0
+	f.waitOnLoop(func() bool {
+		largest = max(largest, f.server.UnsentBytes())
+		return f.server.PendingReplies() == 0 && f.server.UnsentBytes() > 0
+	})
+	if largest > maxRetained+len(clients)*len(largeValue) {
+		t.Errorf("the server keeps %d unsent bytes, want at most %d and a reply per client", largest, maxRetained)
+	}
+	for _, c := range clients {
+		closeOrFail(t, c)
+	}
+	f.waitOnLoop(func() bool { return f.server.ClientCount() == 0 })
+	f.expectNothingRetained()
+}
--- a/respserver/server.go
+++ b/respserver/server.go
@@ -58,7 +58,7 @@
 	requests           map[dispatch.RequestID]*request
 	requestsByClientID map[string]*request
 	lastRequestID      dispatch.RequestID
-	retainedBytes      int // bytes of the arguments of open requests and of replies that wait for earlier replies
+	retainedBytes      int // bytes of the arguments of open requests, and of replies that wait or are unsent
 	maxRetainedBytes   int
 
 	args        [][]byte   // arguments of the current command; the slice is reused for each command
