dispatch: with pushed lists, a silent discovery is called again within 0.15 s

Cause: where lists are pushed, a change binds as soon as discovery has it, also one that it learns at the end of an outage, with a grace of 0.5 to 1 s. Between calls that a silent discovery leaves unanswered, schedulePoll paused up to 3 s.

Change: Config.ListsPushed, from the settings. After a call that failed later than 2 s, but for the first failure, the pause is 50 to 150 ms; a discovery that refuses calls is called less and less often, as before. Traces store the field where it is set.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -16,6 +16,7 @@
 
 	CancelAttempts bool          // whether the dispatcher may cancel attempts in flight
 	PollDiscovery  bool          // whether endpoint updates arrive only after a Watch action
+	ListsPushed    bool          // whether a change binds the dispatcher as soon as discovery has it
 	MaxRetryAfter  time.Duration // upper bound of Reject.RetryAfter
 	MaxAttempts    int           // largest number of attempts of one request; 0 means no limit
 	RoundTrip      time.Duration // allowance for one network round trip
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -56,8 +56,11 @@
 	// scheduledRetries and reservedRetries count the requests with each claim on the retry budget.
 	scheduledRetries, reservedRetries int
 
-	lossRate    float64 // estimated share of responses that are lost, from 0 to 1
-	failedPolls int     // number of consecutive failed calls to discovery
+	lossRate float64 // estimated share of responses that are lost, from 0 to 1
+
+	// The file endpoints.go owns the following fields.
+	failedPolls  int           // number of consecutive failed calls to discovery
+	pollSilentAt time.Duration // a call to discovery that fails then or later has met silence
 
 	dirtyNodes []*node // nodes whose queues must be examined before Handle returns
 	actions    []Action
@@ -132,7 +135,7 @@
 	d.wakeAt = math.MaxInt64
 	d.addTimer(d.now+controllerInterval, timerEvent{kind: controllerTimer})
 	if d.cfg.PollDiscovery {
-		d.emit(Watch{On: true})
+		d.poll()
 	}
 }
 
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -18,6 +18,9 @@
 	maxPollDelay          = 2 * time.Second
 	maxPollDelayDoublings = 8 // largest number of doublings of the delay
 	minPollJitter         = 0.5
+	// silentPollDelay replaces the delay above where lists are pushed and the failed call has
+	// met a silent service.
+	silentPollDelay = 100 * time.Millisecond
 )
 
 // node holds what this dispatcher knows about a storage node.
@@ -96,9 +99,21 @@
 	d.dropRemovedNodes()
 }
 
-// schedulePoll sets the timer that repeats a failed call to discovery.
+// poll calls discovery.
+func (d *Dispatcher) poll() {
+	d.pollSilentAt = d.now + maxPollDelay
+	d.emit(Watch{On: true})
+}
+
+// schedulePoll sets the timer that repeats a failed call to discovery. Where lists are pushed, the
+// news that discovery gets after an outage binds at once, so a call must be waiting for it. Each
+// call that a silent service leaves unanswered lasts longer than maxPollDelay, so a short delay
+// does not lead to many calls. A service that refuses calls is called less and less often.
 func (d *Dispatcher) schedulePoll() {
 	delay := min(minPollDelay<<min(d.failedPolls, maxPollDelayDoublings), maxPollDelay)
+	if d.cfg.ListsPushed && d.failedPolls > 0 && d.now >= d.pollSilentAt {
+		delay = silentPollDelay
+	}
 	d.failedPolls++
 	jitter := minPollJitter + d.rng.Float64()
 	d.addTimer(d.now+time.Duration(float64(delay)*jitter), timerEvent{kind: pollTimer})
--- a/dispatch/endpoints_test.go
+++ b/dispatch/endpoints_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -80,6 +81,47 @@
 	}
 }
 
+// Where lists are pushed, a change that discovery learns at the end of an outage binds a dispatcher at
+// once, with a grace of half a second on some deployments. While discovery is silent, the pause between
+// two calls is shorter than that, however long the outage lasts. Before the fix, it grew to 3 s. A
+// discovery that refuses calls at once is still called less and less often.
+func TestPushedListsArePolledThroughOutage(t *testing.T) {
+	const callTimeout = 2500 * ms // a caller gives up a call that has no answer for so long
+	cfg := testConfig()
+	cfg.PollDiscovery, cfg.ListsPushed = true, true
+	d, err := New(cfg, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	d.Handle(now, EndpointUpdate{Kind: Cached})
+	failAfter := func(callTime time.Duration) (pause time.Duration) {
+		now += callTime
+		acts := d.Handle(now, EndpointUpdate{Kind: PollFailed})
+		for !slices.ContainsFunc(acts, func(a Action) bool { return a == Watch{On: true} }) {
+			now += 10 * ms
+			pause += 10 * ms
+			if acts = d.Handle(now, TimerFired{"wake"}); pause > 5*time.Second {
+				t.Fatal("got no Watch action 5 s after a failed call")
+			}
+		}
+		return pause
+	}
+	failAfter(callTimeout) // the first pause keeps apart the calls of dispatchers whose watches end together
+	for range 20 {
+		if pause := failAfter(callTimeout); pause > 300*ms || pause < 50*ms {
+			t.Fatalf("got a pause of %v after a silent call, want 50 to 300 ms", pause)
+		}
+	}
+	sum := time.Duration(0)
+	for range 20 {
+		sum += failAfter(0)
+	}
+	if mean := sum / 20; mean < 1500*ms {
+		t.Errorf("got a mean pause of %v between refused calls, want at least 1.5 s", mean)
+	}
+}
+
 func TestNodeChangesShard(t *testing.T) {
 	r := newFixture(t, testConfig())
 	for range 5 {
--- a/dispatch/timers.go
+++ b/dispatch/timers.go
@@ -69,7 +69,7 @@
 		case retryTimer:
 			d.retry(e.request)
 		case pollTimer:
-			d.emit(Watch{On: true})
+			d.poll()
 		}
 	}
 }
--- a/internal/modelcheck/fingerprint.go
+++ b/internal/modelcheck/fingerprint.go
@@ -155,6 +155,7 @@
 
 	"dispatch.Dispatcher.cfg":               ignored,
 	"dispatch.Dispatcher.now":               ignored,
+	"dispatch.Dispatcher.pollSilentAt":      relativeIfFuture,
 	"dispatch.Dispatcher.startedAt":         relative,
 	"dispatch.Dispatcher.tightestObjective": ignored,
 	"dispatch.Dispatcher.maxTimeouts":       asDuration,
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -60,6 +60,7 @@
 		DispatcherCount: r.integer("peers_total"),
 		CancelAttempts:  r.boolean("limits.cancel"),
 		PollDiscovery:   r.values["discovery"] == "on_request",
+		ListsPushed:     r.values["discovery"] == "pushed",
 		MaxRetryAfter:   r.duration("limits.max_retry_after_ms"),
 		MaxAttempts:     r.integer("limits.try_limit"),
 		RoundTrip:       r.duration("round_ms"),
--- a/trace/record.go
+++ b/trace/record.go
@@ -18,6 +18,7 @@
 	DispatcherCount int               `json:"Peers"`
 	CancelAttempts  bool              `json:"Cancel"`
 	PollDiscovery   bool              `json:"AskDiscovery"`
+	ListsPushed     bool              `json:"ListsPushed,omitempty"`
 	MaxRetryAfter   time.Duration     `json:"MaxRetryAfter"`
 	MaxAttempts     int               `json:"MaxAttempts"`
 	RoundTrip       time.Duration     `json:"Round"`
