respserver: unread replies have a limit of their own, apart from requests and waiting replies

Cause: with unread replies among the retained bytes, a few clients that do not read could make the server reject the requests of all others. Replies that had waited were written out without a look at the limit.

Change: unsent bytes are counted apart, with a limit of the same size; each reply of a request is checked where it is written.

--- a/respserver/clients.go
+++ b/respserver/clients.go
@@ -37,7 +37,7 @@
 	server       *Server
 	conn         *eventloop.Conn
 	pipeline     []*pendingReply // replies that are open or wait for an open one, oldest first
-	unsentBytes  int             // bytes of replies that the kernel has not accepted, as counted in the retained bytes
+	unsentBytes  int             // bytes of replies that the kernel has not accepted, as counted in the server's unsent bytes
 	heldBytes    int             // bytes of the pipeline's replies to commands that started no request
 	lastActivity time.Duration   // time of the last command received or reply completed
 	lastReceived time.Duration   // time at which the last bytes arrived
--- a/respserver/export_test.go
+++ b/respserver/export_test.go
@@ -54,6 +54,9 @@
 	return true
 }
 
+// CountedUnsentBytes returns how many unsent bytes the server counts in its limit.
+func (s *Server) CountedUnsentBytes() int { return s.unsentBytes }
+
 // StartedRequests returns how many requests the server has started.
 func (s *Server) StartedRequests() int { return int(s.lastRequestID) }
 
--- a/respserver/replies.go
+++ b/respserver/replies.go
@@ -62,10 +62,7 @@
 		cl.retainReply(pending, b)
 		return
 	}
-	if cl.conn.BufferedOutput() > 0 && cl.server.exceedsMemory(len(b)) {
-		b = shorter(b, memoryFailure) // the client reads too slowly
-	}
-	cl.conn.Write(b)
+	cl.writeReply(b)
 	cl.removeHead()
 	for len(cl.pipeline) > 0 && cl.pipeline[0].done {
 		cl.writeHead()
@@ -73,11 +70,21 @@
 	if len(cl.pipeline) == 0 {
 		cl.pipeline = nil
 	}
-	cl.countUnsentBytes()
 	cl.closeWriteIfDone()
 	cl.resumeReading()
 }
 
+// writeReply writes a request's reply. If the client has unread replies and the server would keep too
+// many unsent bytes, an error reply takes the place of the reply.
+func (cl *client) writeReply(b []byte) {
+	s := cl.server
+	if cl.conn.BufferedOutput() > 0 && s.unsentBytes+len(b) > s.maxRetainedBytes {
+		b = shorter(b, memoryFailure)
+	}
+	cl.conn.Write(b)
+	cl.countUnsentBytes()
+}
+
 // retainReply keeps a copy of a request's reply that has to wait for earlier replies. If the server
 // would retain too many bytes, an error reply takes the place of the reply.
 func (cl *client) retainReply(pending *pendingReply, b []byte) {
@@ -100,11 +107,11 @@
 	return []byte(failure)
 }
 
-// countUnsentBytes updates the connection's part in the server's retained bytes: the replies that the
-// kernel has not accepted.
+// countUnsentBytes updates the connection's part in the server's unsent bytes. These are not part of the
+// retained bytes, so that clients which do not read cannot make the server reject the requests of others.
 func (cl *client) countUnsentBytes() {
 	unsent := cl.conn.BufferedOutput()
-	cl.server.retainedBytes += unsent - cl.unsentBytes
+	cl.server.unsentBytes += unsent - cl.unsentBytes
 	cl.unsentBytes = unsent
 }
 
@@ -114,8 +121,10 @@
 	cl.server.retainedBytes -= len(head.reply)
 	if head.request == nil {
 		cl.heldBytes -= len(head.reply)
+		cl.conn.Write(head.reply) // holds one reply per command, so an error cannot take its place
+	} else {
+		cl.writeReply(head.reply)
 	}
-	cl.conn.Write(head.reply)
 	cl.removeHead()
 }
 
--- a/respserver/replies_test.go
+++ b/respserver/replies_test.go
@@ -80,8 +80,8 @@
 	f.expectNothingRetained()
 }
 
-// Replies that clients do not read stay within the memory for retained bytes, however many requests of
-// one connection are open.
+// Replies that clients do not read stay within their memory, however many requests of one connection are
+// open. Other clients are still served.
 func TestUnreadRepliesAreBounded(t *testing.T) {
 	const reads, maxRetained = 60, 1 << 20
 	f := startFixture(t, 256)
@@ -107,9 +107,17 @@
 	if largest > maxRetained+len(clients)*len(largeValue) {
 		t.Errorf("the server keeps %d unsent bytes, want at most %d and a reply per client", largest, maxRetained)
 	}
-	for _, c := range clients {
+	other := f.client()
+	other.send(getCommand("other"))
+	other.expectReply("$v")
+	for _, c := range append(clients, other) {
 		closeOrFail(t, c)
 	}
 	f.waitOnLoop(func() bool { return f.server.ClientCount() == 0 })
 	f.expectNothingRetained()
+	f.server.RunOnLoop(func() {
+		if n := f.server.CountedUnsentBytes(); n != 0 {
+			t.Errorf("the server counts %d unsent bytes without a client, want 0", n)
+		}
+	})
 }
--- a/respserver/server.go
+++ b/respserver/server.go
@@ -58,8 +58,9 @@
 	requests           map[dispatch.RequestID]*request
 	requestsByClientID map[string]*request
 	lastRequestID      dispatch.RequestID
-	retainedBytes      int // bytes of the arguments of open requests, and of replies that wait or are unsent
-	maxRetainedBytes   int
+	retainedBytes      int // bytes of the arguments of open requests and of replies that wait for earlier replies
+	unsentBytes        int // bytes of replies that the kernel has not accepted, summed over all clients
+	maxRetainedBytes   int // limit of retainedBytes, and of unsentBytes
 
 	args        [][]byte   // arguments of the current command; the slice is reused for each command
 	nodeReply   resp.Reply // current reply of a node; the value is reused for each reply
