eventloop: output buffers are compacted, slices end in time, small writes go together

What callers saw: 300 clients that send PING at full speed delayed the replies of others to 2.6 s of 1.5 s at a quarter of a core. Causes: a time slice read 64 KiB and handled all of it, which is 4,600 commands, each with a write of its own, whatever time that took; and Conn.Write appended to a buffer that is released only when all of it has left, so a peer that reads steadily but never all of it grew the buffer without bound, while BufferedOutput, which every limit uses, stayed small. Now a slice ends after the loop's poll interval, writes inside OnData go out together (CoalesceWrites), the written part of a buffer is removed when it is the larger one, and input buffers are reused from a bounded pool, because a message in many pieces caused five times its size of garbage.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -23,6 +23,7 @@
 	input   []byte // received bytes that the handler has not consumed
 	output  []byte // bytes that Write has buffered
 	written int    // number of bytes of output that the kernel has accepted
+	maxRead int    // maximum number of bytes that one read takes; 0 means ReadSize
 
 	flow          *Flow
 	queuedAt      time.Duration // time at which the connection began to wait for a time slice
@@ -40,10 +41,14 @@
 	endAfterFlush   bool // whether to send an end of file after the output is written
 	queued          bool // whether the connection waits for a time slice
 	redeliver       bool // whether to pass the kept input to the handler again
+	delivering      bool // whether the handler is inside OnData
+	coalescing      bool // whether Write buffers small writes while the handler is inside OnData
 	readable        bool // whether the socket may have input to read
 	writable        bool // whether the kernel has reported room for output since the last flush
 	readInterest    bool // whether the handler waits for OnReadable
 	peerClosed      bool // whether the kernel has reported that the peer closed its side
+
+	unreadSince time.Duration // when the socket's input was found unread after the last time that it was empty
 }
 
 // Add puts a connected, non-blocking socket on the loop, which takes ownership of fd. If Add fails, it
@@ -88,6 +93,22 @@
 	}
 }
 
+// SetSendBuffer limits how many unacknowledged bytes the kernel buffers, so that a peer that does not
+// read is noticed early. SetSendBuffer ignores a failure, because the limit is only a hint.
+func (c *Conn) SetSendBuffer(bytes int) {
+	if c.fd >= 0 {
+		_ = unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
+	}
+}
+
+// SetMaxRead limits how many bytes one read takes from the socket, and thereby how many bytes the
+// connection buffers when its handler stops consuming input. n must be from 1 to ReadSize.
+func (c *Conn) SetMaxRead(n int) { c.maxRead = n }
+
+// CoalesceWrites makes the connection write what its handler writes inside OnData with few system
+// calls, at the end of the time slice's input at the latest.
+func (c *Conn) CoalesceWrites() { c.coalescing = true }
+
 // Queued reports whether the connection has work to do and waits for a time slice.
 func (c *Conn) Queued() bool { return c.queued }
 
@@ -104,6 +125,13 @@
 // Open reports whether the connection is neither closed nor about to be closed.
 func (c *Conn) Open() bool { return c.fd >= 0 && !c.closeAfterFlush }
 
+// DiscardInput releases the received bytes that the handler has not consumed. The handler must not call
+// it inside OnData.
+func (c *Conn) DiscardInput() {
+	c.releaseInput()
+	c.redeliver = false
+}
+
 // BufferedInput returns how many received bytes the handler has not consumed.
 func (c *Conn) BufferedInput() int { return len(c.input) }
 
@@ -182,8 +210,12 @@
 // read reads from the socket until it has read at least limit bytes or can read no more, and passes
 // the bytes to the handler. It returns the number of bytes read.
 func (c *Conn) read(limit int) (sum int) {
-	for sum < limit && c.readable && !c.paused && !c.closeAfterFlush && c.fd >= 0 {
-		n, err := unix.Read(c.fd, c.loop.readBuffer[:])
+	buffer := c.loop.readBuffer[:]
+	if c.maxRead > 0 {
+		buffer = buffer[:c.maxRead]
+	}
+	for sum < limit && c.readable && !c.paused && !c.redeliver && !c.closeAfterFlush && c.fd >= 0 {
+		n, err := unix.Read(c.fd, buffer)
 		switch {
 		case err == unix.EINTR:
 			continue
@@ -200,21 +232,22 @@
 		sum += n
 		// A short read has emptied the socket, and the kernel reports later input as a new event. It
 		// reports an end of file only once, so after that report the loop must read until the end.
-		c.readable = n == ReadSize || c.peerClosed
-		c.deliver(c.loop.readBuffer[:n])
+		c.readable = n == len(buffer) || c.peerClosed
+		c.deliver(buffer[:n])
 	}
 	return sum
 }
 
 // deliver passes the kept input and the received bytes to the handler. It keeps the bytes that the
-// handler does not consume.
+// handler does not consume, and those that it has no time for in this time slice.
 func (c *Conn) deliver(received []byte) {
 	b := received
 	if len(c.input) > 0 {
-		c.input = append(c.input, received...)
+		c.appendInput(received)
 		b = c.input
 	}
 	consumed := 0
+	c.delivering = true
 	// A failed write sets closeAfterFlush. After that, the handler gets no more input.
 	for consumed < len(b) && c.fd >= 0 && !c.paused && !c.closeAfterFlush {
 		n := c.Handler.OnData(c, b[consumed:])
@@ -222,14 +255,65 @@
 			break
 		}
 		consumed += n
+		if c.loop.sliceExpired() {
+			c.redeliver = consumed < len(b)
+			break
+		}
 	}
+	c.delivering = false
+	if c.fd < 0 {
+		c.releaseInput()
+		return
+	}
+	c.keepInput(b, consumed)
+	c.flushCoalesced()
+}
+
+// appendInput appends received bytes to the kept input.
+func (c *Conn) appendInput(received []byte) {
+	if need := len(c.input) + len(received); need > cap(c.input) {
+		larger := append(c.loop.buffers.get(need), c.input...)
+		c.releaseInput()
+		c.input = larger
+	}
+	c.input = append(c.input, received...)
+}
+
+// releaseInput returns the buffer of the kept input to the loop.
+func (c *Conn) releaseInput() {
+	c.loop.buffers.put(c.input)
+	c.input = nil
+}
+
+// smallInput is the largest kept input that gets a buffer of its exact size. Most connections that wait
+// for the rest of a message hold only a few bytes.
+const smallInput = 1 << 10
+
+// InputBufferSize returns the size of the buffer in which a connection keeps n unconsumed bytes.
+func InputBufferSize(n int) int {
+	if n <= smallInput {
+		return n
+	}
+	return pooledSize(n)
+}
+
+// keepInput keeps the bytes of b that follow the consumed ones. b is the kept input or the loop's read
+// buffer.
+func (c *Conn) keepInput(b []byte, consumed int) {
+	rest := b[consumed:]
 	switch {
-	case c.fd < 0:
-	case consumed == len(b):
-		c.input = nil
-	case len(c.input) > 0:
-		c.input = append(c.input[:0], c.input[consumed:]...)
+	case len(rest) == 0:
+		c.releaseInput()
+	case consumed == 0 && len(c.input) > 0: // b is the kept input
+	case len(c.input) > 0 && cap(c.input) <= 2*max(len(rest), 1<<minPooledBits):
+		c.input = append(c.input[:0], rest...)
+	case len(rest) <= smallInput:
+		small := append(make([]byte, 0, len(rest)), rest...)
+		c.releaseInput()
+		c.input = small
 	default:
-		c.input = append(make([]byte, 0, len(b)-consumed), b[consumed:]...)
+		fitting := append(c.loop.buffers.get(len(rest)), rest...)
+		c.releaseInput()
+		c.input = fitting
 	}
 }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -61,6 +61,7 @@
 	listeners  map[int]*Conn // listening sockets by descriptor
 	tasks      map[*task]struct{}
 	readBuffer [ReadSize]byte
+	buffers    bufferPool
 	deferred   []func()
 	timer      timer
 	stopping   bool // whether Run must return; only the loop's goroutine uses it
@@ -238,6 +239,9 @@
 		l.notifyPeerClosed(c)
 	}
 	if ev.Events&readableEvents != 0 {
+		if !c.readable {
+			c.unreadSince = l.now
+		}
 		c.readable = true
 	}
 	if c.readInterest && c.readable {
--- /dev/null
+++ b/internal/eventloop/presence_test.go
@@ -0,0 +1,66 @@
+package eventloop
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// maxUnread is the longest time for which the tests let input stay unread.
+const maxUnread = 20 * time.Millisecond
+
+// pausingHandler pauses its connection as soon as input arrives.
+type pausingHandler struct{ conn chan *Conn }
+
+func (h *pausingHandler) OnData(c *Conn, b []byte) int {
+	c.Pause()
+	select {
+	case h.conn <- c:
+	default:
+	}
+	return len(b)
+}
+
+func (h *pausingHandler) OnDrained(*Conn)      {}
+func (h *pausingHandler) OnClose(*Conn, error) {}
+
+// TestPeerPresence checks that a connection notices the close of its peer while it is paused, and that it is
+// not sure of its peer once the peer's input has stayed unread.
+func TestPeerPresence(t *testing.T) {
+	for name, c := range map[string]struct {
+		unread int
+		closes bool
+		want   Presence
+	}{
+		"nothing unread": {0, false, Present},
+		"closed":         {0, true, Absent},
+		"unread input":   {1 << 10, false, Unknown},
+		"closed behind":  {1 << 10, true, Absent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &pausingHandler{conn: make(chan *Conn, 1)}
+			peer := dialTCP(t, listen(t, h))
+			write := func(text string) {
+				if _, err := peer.Write([]byte(text)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			write("a")
+			conn := <-h.conn
+			if c.unread > 0 {
+				write(strings.Repeat("x", c.unread))
+			}
+			if c.closes {
+				if err := peer.CloseWrite(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(2 * maxUnread)
+			got := make(chan Presence, 1)
+			conn.Loop().Post(func() { got <- conn.PeerPresence(maxUnread) })
+			if p := <-got; p != c.want {
+				t.Errorf("presence of the peer: got %v, want %v", p, c.want)
+			}
+		})
+	}
+}
--- a/internal/eventloop/schedule.go
+++ b/internal/eventloop/schedule.go
@@ -80,6 +80,10 @@
 	l.syncUsage(syncInterval)
 }
 
+// sliceExpired reports whether the current time slice has lasted for the loop's poll interval, so that
+// its connection must leave the rest of its input to a later slice.
+func (l *Loop) sliceExpired() bool { return l.clock()-l.now >= l.options.PollInterval }
+
 // runSlice does the pending work of a connection within the loop's quantum. It returns the number of
 // bytes that it has read.
 func (c *Conn) runSlice() int {
@@ -106,6 +110,9 @@
 			c.deliver(nil)
 		}
 	}
+	if c.fd < 0 {
+		return 0
+	}
 	return c.read(c.loop.options.Quantum)
 }
 
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -28,6 +28,10 @@
 	if c.fd < 0 || c.closeAfterFlush || c.endAfterFlush {
 		return
 	}
+	if c.delivering && c.coalescing && c.BufferedOutput()+len(b) <= maxCoalesced {
+		c.appendOutput(b)
+		return
+	}
 	if c.BufferedOutput() == 0 {
 		n, err := unix.Write(c.fd, b)
 		if err == unix.EAGAIN || err == unix.EINTR {
@@ -40,7 +44,28 @@
 		b = b[n:]
 	}
 	if len(b) > 0 {
-		c.output = append(c.output, b...)
+		c.appendOutput(b)
+	}
+}
+
+// maxCoalesced is the largest number of bytes that Write buffers to write them together.
+const maxCoalesced = 16 << 10
+
+// appendOutput appends b to the pending output. It first removes the bytes that the kernel has
+// accepted if they are the larger part of the buffer. The buffer of a connection whose peer reads
+// steadily, but never all of the output, would grow without bound otherwise.
+func (c *Conn) appendOutput(b []byte) {
+	if c.written > len(c.output)/2 {
+		c.output = append(c.output[:0], c.output[c.written:]...)
+		c.written = 0
+	}
+	c.output = append(c.output, b...)
+}
+
+// flushCoalesced writes the output that Write has buffered while the handler was inside OnData.
+func (c *Conn) flushCoalesced() {
+	if c.coalescing && c.BufferedOutput() > 0 {
+		c.flush()
 	}
 }
 
@@ -138,7 +163,9 @@
 	delete(c.loop.conns, c.fd)
 	closeFD(c.fd)
 	c.fd = -1
-	c.input = nil
+	if !c.delivering { // the handler may still use the input
+		c.releaseInput()
+	}
 	c.dropOutput()
 	c.loop.connCount.Add(-1)
 	c.Handler.OnClose(c, err)
