run: all buffers of clients and nodes are bounded in sum, and derived from the memory limit

What callers saw: run, with 48 MB and 1,024 descriptors, passed its memory limit and was killed with the requests of all its clients, and again 0.43 s after its restart, when the crowd was back. Cause: an incomplete command (80 KiB a connection), unread replies to PING (128 KiB a connection) and incomplete replies of nodes were bounded for each connection alone; with 600 client connections that is 48 MB, and more with the slack of buffers that grow. The limits did not allow for the 21 MB of the executable either. Now respserver/memory.go divides the memory that is left beside the program: each use has a limit over all connections. Beyond it the incomplete command that has held the most bytes for the longest time is rejected with BUSY (internal/bufferlimit), a connection to a node likewise closed, and clients with unread replies are read no further. One client holds at most a quarter of the retained bytes. The server logs statistics every 10 s, why connections were closed and requests rejected, and when a memory limit is reached. A client that has connected, and not yet sent, is no longer evicted within 0.5 s below the limit of connections.

--- a/cmd/chalkstand/run.go
+++ b/cmd/chalkstand/run.go
@@ -41,11 +41,6 @@
 	return c
 }
 
-// softMemoryShare is the part of the configured memory that the Go runtime gets as its soft
-// memory limit. The rest is reserved for the executable, the kernel's buffers and the garbage
-// that accumulates between two collections.
-const softMemoryShare = 0.6
-
 // runServer runs the server with the configuration of a file until a graceful shutdown is
 // complete.
 func runServer(file, level string) error {
@@ -63,7 +58,7 @@
 	defer func() { _ = log.Sync() }() // Sync fails if standard error is a terminal.
 	// The server runs one event loop on one core. A second thread would only wait for the first.
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(cfg.MemoryMB * softMemoryShare * (1 << 20)))
+	debug.SetMemoryLimit(cfg.HeapBytes())
 	server, err := respserver.New(cfg, log)
 	if err != nil {
 		return err
--- a/layering_test.go
+++ b/layering_test.go
@@ -27,14 +27,15 @@
 
 // layers maps the folder of every package of the module to the package's layer.
 var layers = map[string]layer{
-	"attribution":         decisions,
-	"costmodel":           decisions,
-	"dispatch":            decisions,
-	"fairshare":           decisions,
-	"forwarder":           decisions,
-	"internal/timerqueue": decisions,
-	"overload":            decisions,
-	"placement":           decisions,
+	"attribution":          decisions,
+	"costmodel":            decisions,
+	"dispatch":             decisions,
+	"fairshare":            decisions,
+	"forwarder":            decisions,
+	"internal/bufferlimit": decisions,
+	"internal/timerqueue":  decisions,
+	"overload":             decisions,
+	"placement":            decisions,
 
 	"internal/endpoints":     codecs,
 	"internal/http1":         codecs,
--- a/respserver/clients.go
+++ b/respserver/clients.go
@@ -14,10 +14,12 @@
 
 // These constants bound what one client connection may use.
 const (
-	maxPipelined    = 64        // the server rejects further object commands while its pipeline has this many entries
-	maxUnsentBytes  = 128 << 10 // the server reads no further command while more bytes of replies are unsent
-	maxBadCommands  = 16        // the server closes the connection after this many error replies to commands
-	minEvictionIdle = 50 * time.Millisecond
+	maxPipelined     = 64        // the server rejects further object commands while its pipeline has this many entries
+	maxUnsentBytes   = 128 << 10 // the server reads no further command while more bytes of replies are unsent
+	clientSendBuffer = 64 << 10  // bytes of replies that the kernel buffers; Linux doubles the number
+	maxBadCommands   = 16        // the server closes the connection after this many error replies to commands
+	minEvictionIdle  = 50 * time.Millisecond
+	silentIdleFactor = 10 // minEvictionIdle is so many times longer for a client that has sent no command
 )
 
 // These timeouts apply to each client connection.
@@ -34,16 +36,18 @@
 // client is a connection from a client. The server runs the commands of a client concurrently and
 // writes their replies in the order of the commands.
 type client struct {
-	server       *Server
-	conn         *eventloop.Conn
-	pipeline     []*pendingReply // replies that are open or wait for an open one, oldest first
-	unsentBytes  int             // bytes of replies that the kernel has not accepted, as counted in the server's unsent bytes
-	heldBytes    int             // bytes of the pipeline's replies to commands that started no request
-	lastActivity time.Duration   // time of the last command received or reply completed
-	lastReceived time.Duration   // time at which the last bytes arrived
-	sentCommand  bool            // whether the client has sent at least one whole command
-	partialSince time.Duration   // arrival time of the first byte of an incomplete command; 0 if there is none
-	badCommands  int             // number of commands that received an error reply
+	server        *Server
+	conn          *eventloop.Conn
+	pipeline      []*pendingReply // replies that are open or wait for an open one, oldest first
+	partialBytes  int             // bytes of an incomplete command, as counted in the server's partial bytes
+	retainedBytes int             // the client's part of the server's retained bytes
+	unsentBytes   int             // bytes of replies that the kernel has not accepted, as counted in the server's unsent bytes
+	heldBytes     int             // bytes of the pipeline's replies to commands that started no request
+	lastActivity  time.Duration   // time of the last command received or reply completed
+	lastReceived  time.Duration   // time at which the last bytes arrived
+	sentCommand   bool            // whether the client has sent at least one whole command
+	partialSince  time.Duration   // arrival time of the first byte of an incomplete command; 0 if there is none
+	badCommands   int             // number of commands that received an error reply
 	// draining is set in a graceful shutdown. The server then reads no further command from the
 	// connection and half-closes it after the last reply.
 	draining      bool
@@ -62,6 +66,7 @@
 	}
 	if len(s.clients) >= s.cfg.maxClientConns() && !s.evictIdleClient(0) {
 		_ = unix.Close(fd) // Linux releases the descriptor even if close fails, and no data is lost
+		s.stats.refusedAtLimit++
 		return
 	}
 	now := s.now()
@@ -72,18 +77,21 @@
 	}
 	cl.conn = conn
 	conn.AssignFlow(s.flows.clients)
+	conn.SetSendBuffer(clientSendBuffer)
+	conn.SetMaxRead(s.limits.clientRead)
+	conn.CoalesceWrites()
 	s.clients = append(s.clients, cl)
+	s.stats.accepted++
 }
 
 // evictIdleClient closes the idle connection that is first in the order of eviction and reports
-// whether it found one. It spares connections whose last activity is less than minIdle ago if they
-// have sent a command, because their clients would have to reconnect for the next command.
+// whether it found one. Unless minIdle is 0, it spares connections whose clients may be about to send a
+// command.
 func (s *Server) evictIdleClient(minIdle time.Duration) bool {
 	var victim *client
 	now := s.now()
 	for _, cl := range s.clients {
-		recent := cl.sentCommand && now-cl.lastActivity < minIdle
-		if !recent && cl.evictedBefore(victim) && cl.idle() {
+		if now-cl.lastActivity >= cl.evictableAfter(minIdle) && cl.evictedBefore(victim) && cl.idle() {
 			victim = cl
 		}
 	}
@@ -91,9 +99,19 @@
 		return false
 	}
 	victim.conn.Close()
+	s.stats.idleEvicted++
 	return true
 }
 
+// evictableAfter returns the time since the last activity after which the connection may be evicted. A
+// client that has sent no command yet gets more time, because it may still be about to send its first one.
+func (cl *client) evictableAfter(minIdle time.Duration) time.Duration {
+	if cl.sentCommand {
+		return minIdle
+	}
+	return silentIdleFactor * minIdle
+}
+
 // evictedBefore reports whether cl precedes other in the order of eviction. Connections that have
 // never sent a command come first. Otherwise the connection with the oldest activity comes first.
 // other may be nil.
@@ -126,18 +144,17 @@
 	}
 	args, n, err := resp.Command(b, s.args[:0])
 	if err != nil {
+		s.stats.protocolErrors++
+		cl.endPartialCommand()
 		cl.closeWithError("ERR Protocol error: " + err.Error())
 		return len(b)
 	}
 	if n == 0 {
-		if cl.partialSince == 0 {
-			cl.partialSince = cl.lastReceived
-		}
-		return 0
+		return cl.awaitRest(b)
 	}
 	s.args = args[:0]
 	cl.sentCommand = true
-	cl.partialSince = 0
+	cl.endPartialCommand()
 	cl.lastActivity = cl.lastReceived
 	cl.execute(args)
 	if cl.repliesPending() {
@@ -146,6 +163,35 @@
 	return n
 }
 
+// awaitRest keeps an incomplete command until the rest arrives, and returns how many of its bytes the
+// connection does not need to keep. It may reject incomplete commands, this one among them, if all
+// together need too much memory.
+func (cl *client) awaitRest(b []byte) int {
+	if cl.partialSince == 0 {
+		cl.partialSince = cl.lastReceived
+	}
+	cl.setPartialBytes(len(b))
+	cl.server.limitPartialCommands(cl)
+	if cl.discarding {
+		return len(b)
+	}
+	return 0
+}
+
+// endPartialCommand records that the connection holds no incomplete command.
+func (cl *client) endPartialCommand() {
+	cl.partialSince = 0
+	cl.setPartialBytes(0)
+}
+
+// rejectPartialCommand rejects the incomplete command that the connection holds, and reads no further
+// command from it. No node has received the command, so a retry is harmless.
+func (cl *client) rejectPartialCommand(retryAfter time.Duration) {
+	cl.endPartialCommand()
+	cl.reply(cl.server.busyReply(retryAfter))
+	cl.discardInput()
+}
+
 // OnDrained resumes reading after the kernel has accepted all replies.
 func (cl *client) OnDrained(*eventloop.Conn) {
 	cl.lastActivity = cl.server.now()
@@ -170,11 +216,15 @@
 	s := cl.server
 	s.removeClient(cl)
 	cl.countUnsentBytes() // a closed connection has no unsent bytes
+	cl.endPartialCommand()
 	unanswered := cl.pipeline
 	cl.pipeline = nil
+	if len(unanswered) > 0 {
+		s.stats.clientsLeft++
+	}
 	for _, pending := range unanswered {
 		if pending.done {
-			s.retainedBytes -= len(pending.reply)
+			cl.retain(-len(pending.reply))
 			continue
 		}
 		s.removeRequest(pending.request)
@@ -218,19 +268,35 @@
 		return
 	}
 	if s.requestsByClientID[string(command.ID)] != nil {
+		s.stats.rejectedRepeatedID++
 		cl.rejectCommand("ERR id: expected a new one, got that of an open request")
 		return
 	}
 	size := len(command.Piece) + len(command.ID) + len(command.Fields) + len(command.Body)
-	if s.rejecting || len(cl.pipeline) >= maxPipelined || s.exceedsMemory(size) {
+	if s.rejecting || !cl.admits(size) {
 		cl.reply(s.busyReply(s.cfg.Settings.Dispatch.MaxRetryAfter))
 		return
 	}
+	s.stats.started++
 	req := s.addRequest(cl, command, size)
 	cl.pipeline = append(cl.pipeline, req.reply)
 	s.handle(forwarder.StartRequest{Request: req.command.Request})
 }
 
+// admits reports whether the client's pipeline and the server's memory have room for a request whose
+// arguments have the given size.
+func (cl *client) admits(size int) bool {
+	switch {
+	case len(cl.pipeline) >= maxPipelined:
+		cl.server.stats.rejectedPipelineFull++
+		return false
+	case cl.exceedsMemory(size):
+		cl.server.stats.rejectedMemory++
+		return false
+	}
+	return true
+}
+
 // rejectCommand sends an error reply to a command that is well-formed RESP but cannot be executed.
 // It closes the connection after maxBadCommands such commands.
 func (cl *client) rejectCommand(text string) {
@@ -246,7 +312,14 @@
 // server discards all further input of the client.
 func (cl *client) closeWithError(text string) {
 	cl.replyLine(resp.ErrorReply, text)
+	cl.discardInput()
+}
+
+// discardInput makes the server discard all further input of the client and close the connection after
+// the last reply.
+func (cl *client) discardInput() {
 	cl.discarding = true
+	cl.conn.SetMaxRead(eventloop.ReadSize) // the connection keeps nothing of what it reads
 	cl.conn.Pause()
 	cl.closeWriteIfDone()
 }
@@ -265,6 +338,7 @@
 	for _, cl := range slices.Clone(s.clients) {
 		cl.countUnsentBytes()
 		if cl.expired(now) {
+			s.stats.timedOut++
 			cl.conn.Close()
 		} else if cl.discarding {
 			cl.conn.Resume()
--- a/respserver/config.go
+++ b/respserver/config.go
@@ -228,19 +228,9 @@
 // eviction, connections that stay open after one request would prevent other clients from connecting.
 func (c *Config) clientHighWaterMark() int { return c.Sockets / 4 }
 
-// The server derives its own limits from the memory limit by these factors.
-const (
-	retainedMemoryShare = 0.15 // share of memory for the arguments of open requests and for queued replies
-	requestsPerMB       = 32   // open requests per megabyte of memory
-)
-
-// maxRetainedBytes returns the maximum number of bytes of arguments and replies that the server
-// retains.
-func (c *Config) maxRetainedBytes() int { return int(c.MemoryMB * retainedMemoryShare * (1 << 20)) }
-
 // maxRequests returns the maximum number of open requests.
 func (c *Config) maxRequests() int {
-	byMemory := int(c.MemoryMB * requestsPerMB)
+	byMemory := c.perHeapMB(requestsPerMB)
 	if configured := c.Settings.MaxOpenRequests; configured > 0 {
 		return min(byMemory, configured)
 	}
@@ -268,6 +258,7 @@
 	// Endpoint lists reach the server only through a discovery watch. A list that the settings call pushed
 	// is pushed to the simulator's dispatchers, and on sockets to the discovery service that the watch asks.
 	dispatchConfig.PollDiscovery = true
+	dispatchConfig.MaxVolumes = c.perHeapMB(volumesPerMB)
 	return forwarder.Config{
 		Dispatch:        dispatchConfig,
 		Seed:            c.Seed,
--- a/respserver/nodes.go
+++ b/respserver/nodes.go
@@ -19,10 +19,12 @@
 	conn           *eventloop.Conn
 	dialDeadline   time.Duration
 	connected      bool
-	used           bool     // whether the connection has carried a request
-	request        *request // request in flight, or nil
-	requestWritten bool     // whether the kernel has accepted the whole request
-	value          []byte   // value in the reply that the forwarder is handling
+	used           bool          // whether the connection has carried a request
+	request        *request      // request in flight, or nil
+	requestWritten bool          // whether the kernel has accepted the whole request
+	value          []byte        // value in the reply that the forwarder is handling
+	bufferedBytes  int           // bytes in the connection's buffers, as counted in the server's node bytes
+	bufferedSince  time.Duration // time since which bufferedBytes has not been 0
 }
 
 // dial starts to open a connection to a node and reports a failure to the forwarder.
@@ -70,9 +72,23 @@
 	}
 	c.request = req
 	c.used = true
+	s.stats.attempts++
 	s.writeBuffer = req.command.AppendTo(s.writeBuffer[:0], deadline-s.now())
 	c.conn.Write(s.writeBuffer)
 	c.requestWritten = c.conn.Open() && c.conn.BufferedOutput() == 0
+	c.countBuffers(0)
+	s.limitNodeBuffers()
+}
+
+// lostEvent returns the event that reports the loss of the connection with its request.
+func (c *nodeConn) lostEvent() forwarder.ConnectionLost {
+	return forwarder.ConnectionLost{Conn: c.id, Unsent: c.request != nil && !c.requestWritten}
+}
+
+// releaseBuffers records that the connection is closed and holds no buffers.
+func (c *nodeConn) releaseBuffers() {
+	c.server.nodeBytes -= c.bufferedBytes
+	c.bufferedBytes = 0
 }
 
 // closeLost closes the connection and reports its loss to the forwarder.
@@ -104,8 +120,11 @@
 		return 0
 	}
 	if n == 0 {
+		c.countBuffers(len(b))
+		s.limitNodeBuffers()
 		return 0
 	}
+	c.countBuffers(0)
 	value, info, ok := objectcommand.ParseReply(&s.nodeReply)
 	if !ok {
 		c.closeLost(forwarder.ConnectionLost{Conn: c.id})
@@ -123,12 +142,16 @@
 }
 
 // OnDrained records that the kernel has accepted the whole request.
-func (c *nodeConn) OnDrained(*eventloop.Conn) { c.requestWritten = true }
+func (c *nodeConn) OnDrained(*eventloop.Conn) {
+	c.requestWritten = true
+	c.countBuffers(0)
+}
 
 // OnClose reports the close of the connection to the forwarder, unless the server itself has closed the
 // connection.
 func (c *nodeConn) OnClose(*eventloop.Conn, error) {
 	s := c.server
+	c.releaseBuffers()
 	if s.nodeConns[c.id] != c {
 		return
 	}
@@ -137,6 +160,5 @@
 		s.handle(forwarder.DialCompleted{Conn: c.id})
 		return
 	}
-	unsent := c.request != nil && !c.requestWritten
-	s.handle(forwarder.ConnectionLost{Conn: c.id, Unsent: unsent})
+	s.handle(c.lostEvent())
 }
--- a/respserver/replies.go
+++ b/respserver/replies.go
@@ -47,7 +47,7 @@
 	}
 	last.reply = append(last.reply, b...)
 	cl.heldBytes += len(b)
-	cl.server.retainedBytes += len(b)
+	cl.retain(len(b))
 }
 
 // completeReply fills the place of a request's reply in the pipeline. It writes all completed replies
@@ -78,7 +78,9 @@
 // many unsent bytes, an error reply takes the place of the reply.
 func (cl *client) writeReply(b []byte) {
 	s := cl.server
-	if cl.conn.BufferedOutput() > 0 && s.unsentBytes+len(b) > s.maxRetainedBytes {
+	if cl.conn.BufferedOutput() > 0 && s.unsentBytes+len(b) > s.limits.unsentReplies {
+		s.stats.repliesWithoutMemory++
+		s.warnMemory("unread replies", s.unsentBytes, s.limits.unsentReplies)
 		b = shorter(b, memoryFailure)
 	}
 	cl.conn.Write(b)
@@ -88,16 +90,26 @@
 // retainReply keeps a copy of a request's reply that has to wait for earlier replies. If the server
 // would retain too many bytes, an error reply takes the place of the reply.
 func (cl *client) retainReply(pending *pendingReply, b []byte) {
-	s := cl.server
-	if s.exceedsMemory(len(b)) {
+	if cl.exceedsMemory(len(b)) {
+		cl.server.stats.repliesWithoutMemory++
 		b = shorter(b, memoryFailure)
 	}
 	pending.reply = slices.Clone(b)
-	s.retainedBytes += len(b)
+	cl.retain(len(b))
 }
 
-// exceedsMemory reports whether the server would retain too many bytes with size bytes more.
-func (s *Server) exceedsMemory(size int) bool { return s.retainedBytes+size > s.maxRetainedBytes }
+// retain adds to the retained bytes of the client and of the server. A negative n releases bytes.
+func (cl *client) retain(n int) {
+	cl.retainedBytes += n
+	cl.server.retainedBytes += n
+}
+
+// exceedsMemory reports whether the server would retain too many bytes, in all or for this client, with
+// size bytes more.
+func (cl *client) exceedsMemory(size int) bool {
+	s := cl.server
+	return s.retainedBytes+size > s.limits.retained || cl.retainedBytes+size > s.limits.clientRetained
+}
 
 // shorter returns the shorter one of a reply and the error that may take its place.
 func shorter(reply []byte, failure string) []byte {
@@ -118,7 +130,7 @@
 // writeHead writes the completed replies at the head of the pipeline.
 func (cl *client) writeHead() {
 	head := cl.pipeline[0]
-	cl.server.retainedBytes -= len(head.reply)
+	cl.retain(-len(head.reply))
 	if head.request == nil {
 		cl.heldBytes -= len(head.reply)
 		cl.conn.Write(head.reply) // holds one reply per command, so an error cannot take its place
@@ -139,8 +151,14 @@
 // command from the connection.
 func (cl *client) repliesPending() bool {
 	s := cl.server
-	outOfMemory := cl.heldBytes > 0 && s.exceedsMemory(0)
-	return cl.conn.BufferedOutput() > maxUnsentBytes || cl.heldBytes > maxHeldBytes || outOfMemory
+	unsent := cl.conn.BufferedOutput()
+	switch {
+	case unsent > maxUnsentBytes || cl.heldBytes > maxHeldBytes:
+		return true
+	case cl.heldBytes > 0 && cl.exceedsMemory(0):
+		return true
+	}
+	return unsent > 0 && s.unsentBytes > s.limits.unsentReplies
 }
 
 // resumeReading resumes reading from a connection that was paused because of its replies, once the
--- a/respserver/requests.go
+++ b/respserver/requests.go
@@ -43,7 +43,7 @@
 	req.reply = &pendingReply{request: req}
 	req.command.Request.ID = req.id
 	req.retainArguments(size)
-	s.retainedBytes += size
+	cl.retain(size)
 	s.requests[req.id] = req
 	s.requestsByClientID[string(req.command.ID)] = req
 	return req
@@ -53,7 +53,7 @@
 func (s *Server) removeRequest(req *request) {
 	delete(s.requests, req.id)
 	delete(s.requestsByClientID, string(req.command.ID))
-	s.retainedBytes -= req.retainedBytes
+	req.client.retain(-req.retainedBytes)
 }
 
 // finish unregisters a request and completes its reply.
--- a/respserver/server.go
+++ b/respserver/server.go
@@ -30,6 +30,10 @@
 	nodesFlowWeight    = 16
 )
 
+// pollInterval bounds the time slice of a connection. It is short, because each of hundreds of clients may
+// have input for its whole slice.
+const pollInterval = 50 * time.Microsecond
+
 // sweepInterval is the time between two checks of the timeouts of client connections.
 const sweepInterval = 20 * time.Millisecond
 
@@ -58,9 +62,17 @@
 	requests           map[dispatch.RequestID]*request
 	requestsByClientID map[string]*request
 	lastRequestID      dispatch.RequestID
-	retainedBytes      int // bytes of the arguments of open requests and of replies that wait for earlier replies
-	unsentBytes        int // bytes of replies that the kernel has not accepted, summed over all clients
-	maxRetainedBytes   int // limit of retainedBytes, and of unsentBytes
+
+	limits        memoryLimits
+	partialBytes  int // bytes of incomplete commands, summed over all clients
+	retainedBytes int // bytes of the arguments of open requests and of replies that wait for earlier replies
+	unsentBytes   int // bytes of replies that the kernel has not accepted, summed over all clients
+	nodeBytes     int // bytes in the buffers of node connections, summed over all of them
+
+	stats             stats
+	loggedStats       stats // the statistics that were logged last
+	nextStats         time.Duration
+	nextMemoryWarning time.Duration
 
 	args        [][]byte   // arguments of the current command; the slice is reused for each command
 	nodeReply   resp.Reply // current reply of a node; the value is reused for each reply
@@ -99,11 +111,12 @@
 		nodeConns:          map[forwarder.ConnID]*nodeConn{},
 		requests:           map[dispatch.RequestID]*request{},
 		requestsByClientID: map[string]*request{},
-		maxRetainedBytes:   cfg.maxRetainedBytes(),
+		limits:             cfg.memoryLimits(),
 		discoveryAddr:      cfg.Discovery,
 		endpointVersion:    cfg.Known.Version,
 	}
 	options := eventloop.DefaultOptions
+	options.PollInterval = pollInterval
 	options.Now = func() time.Duration { return time.Since(s.startTime) }
 	if s.loop, err = eventloop.NewLoopWithOptions(0, options); err != nil {
 		return nil, err
@@ -191,10 +204,12 @@
 		}
 	case forwarder.Reject:
 		if req := s.requests[a.ID]; req != nil {
+			s.stats.rejectedByDispatcher++
 			s.finish(req, s.busyReply(a.RetryAfter))
 		}
 	case forwarder.Fail:
 		if req := s.requests[a.ID]; req != nil {
+			s.stats.failed++
 			s.finish(req, s.failureReply(a.TimedOut))
 		}
 	case forwarder.SetTimer:
@@ -228,9 +243,14 @@
 	}
 }
 
-// sweep closes the client connections that have reached a timeout and advances a graceful shutdown.
+// sweep closes the client connections that have reached a timeout, logs statistics and advances a graceful
+// shutdown.
 func (s *Server) sweep(now time.Duration) {
 	s.sweepClients(now)
+	if now >= s.nextStats {
+		s.nextStats = now + statsInterval
+		s.logStats()
+	}
 	if s.shuttingDown {
 		s.advanceShutdown(now)
 	}
--- a/respserver/shutdown.go
+++ b/respserver/shutdown.go
@@ -68,6 +68,7 @@
 	s.drainClients(now > forcedTermination-drainAllBefore)
 	if len(s.clients) == 0 || now > forcedTermination-stopBefore {
 		s.stopped = true
+		s.logStats()
 		s.log.Info("graceful shutdown completed",
 			zap.Int("open_requests", len(s.requests)), zap.Int("connections", len(s.clients)))
 		go s.loop.Stop() // Stop waits for the loop, so a call on the loop itself would deadlock
@@ -95,9 +96,7 @@
 func (s *Server) rejectPartialCommands() {
 	for _, cl := range slices.Clone(s.clients) {
 		if cl.partialSince > 0 && !cl.draining && !cl.discarding {
-			cl.partialSince = 0
-			cl.reply(s.busyReply(0))
-			cl.drain()
+			cl.rejectPartialCommand(0)
 		}
 	}
 }
