run: no attempt begins for a client that has left, and an id that was sent is not sent again

What callers saw: a client closed its connection with much of its input unread, and its requests were sent to nodes afterwards (8 of 12 commands later than 150 ms after the close); an id ran twice when it came again after its client had left. Cause: the server learns of a close from the event loop alone, and TCP delivers a close only behind the bytes before it, so a connection that is paused, or whose input is discarded at 32 KiB each 20 ms, hides it for as long as its receive buffer is full. OnPeerClosed ignored the close of a client after a protocol error even with requests open. Ids were known only while their request was open. Now each attempt, first or further, asks the kernel for the client just before it is written (PeerPresence): a client that has left is canceled; a request whose client's input has stayed unread for over 50 ms, or is discarded, ends with BUSY, or with an error if a node may have run it. The ids of the last requests that were written to a node are kept as hashes, 1,024 for each MiB of the heap, and rejected.

--- a/respserver/clients.go
+++ b/respserver/clients.go
@@ -203,10 +203,10 @@
 }
 
 // OnPeerClosed closes the connection when the client has closed its side, which cancels the client's
-// open requests. It keeps a connection whose input is discarded, because the last reply may still be
-// in transit.
+// open requests. It keeps a connection without open requests whose input is discarded, because the last
+// reply may still be in transit.
 func (cl *client) OnPeerClosed(conn *eventloop.Conn) {
-	if !cl.discarding {
+	if !cl.discarding || len(cl.pipeline) > 0 {
 		conn.Close()
 	}
 }
@@ -267,9 +267,9 @@
 		cl.rejectCommand("ERR " + err.Error())
 		return
 	}
-	if s.requestsByClientID[string(command.ID)] != nil {
+	if s.requestsByClientID[string(command.ID)] != nil || s.recentIDs.contains(command.ID) {
 		s.stats.rejectedRepeatedID++
-		cl.rejectCommand("ERR id: expected a new one, got that of an open request")
+		cl.rejectCommand("ERR id: expected a new one, got that of an open or earlier request")
 		return
 	}
 	size := len(command.Piece) + len(command.ID) + len(command.Fields) + len(command.Body)
--- a/respserver/memory.go
+++ b/respserver/memory.go
@@ -31,8 +31,9 @@
 
 // These numbers of entries belong to each mebibyte of the heap.
 const (
-	requestsPerMB = 64
-	volumesPerMB  = 128
+	requestsPerMB  = 64
+	volumesPerMB   = 128
+	recentIDsPerMB = 1024
 )
 
 const (
--- a/respserver/memory_test.go
+++ b/respserver/memory_test.go
@@ -66,3 +66,18 @@
 		return f.server.EvictedNodeConns() > 0
 	})
 }
+
+// A request is not sent again under the id of an earlier one whose client has left.
+func TestRepeatedIDAfterClientLeft(t *testing.T) {
+	f := startFixture(t, 256)
+	f.node.SetDefault(respnode.Behavior{Hang: true})
+	first := f.client()
+	first.send(getCommand("same"))
+	f.waitForCommands(1)
+	closeOrFail(t, first)
+	f.waitOnLoop(func() bool { return f.server.ClientCount() == 0 })
+	second := f.client()
+	second.send(getCommand("same"))
+	second.expectReply("-ERR id")
+	f.expectCommands(1)
+}
--- a/respserver/nodes.go
+++ b/respserver/nodes.go
@@ -70,6 +70,9 @@
 		c.closeLost(forwarder.ConnectionLost{Conn: c.id, Stale: true})
 		return
 	}
+	if !s.confirmClient(req) {
+		return
+	}
 	c.request = req
 	c.used = true
 	s.stats.attempts++
@@ -80,6 +83,53 @@
 	s.limitNodeBuffers()
 }
 
+// maxUnreadInput is the longest time for which a client's input may stay unread while attempts begin for
+// its requests. The close of a client's connection becomes known only behind its unread input, and no
+// attempt may begin later than 0.1 s after it.
+const maxUnreadInput = 50 * time.Millisecond
+
+// confirmClient reports whether an attempt of a request may begin, because its client is there. If the
+// client has left, confirmClient closes its connection. If the client may have left behind unread input,
+// confirmClient ends the request.
+func (s *Server) confirmClient(req *request) bool {
+	switch req.client.presence() {
+	case eventloop.Absent:
+		s.stats.canceledBeforeAttempt++
+		req.client.conn.Close()
+		return false
+	case eventloop.Unknown:
+		s.stats.rejectedUnreadInput++
+		s.endUnconfirmed(req)
+		return false
+	}
+	if !req.sent {
+		req.sent = true
+		s.recentIDs.add(req.command.ID)
+	}
+	return true
+}
+
+// presence says whether the client is known to be there. It is unknown while the server reads the client's
+// input slowly to discard it.
+func (cl *client) presence() eventloop.Presence {
+	presence := cl.conn.PeerPresence(maxUnreadInput)
+	if presence == eventloop.Present && cl.discarding {
+		return eventloop.Unknown
+	}
+	return presence
+}
+
+// endUnconfirmed gives a request its final reply in place of an attempt. It rejects the request if no node
+// has received it, and fails it otherwise.
+func (s *Server) endUnconfirmed(req *request) {
+	if req.sent {
+		s.finish(req, s.failureReply(false))
+	} else {
+		s.finish(req, s.busyReply(s.cfg.Settings.Dispatch.MaxRetryAfter))
+	}
+	s.handle(forwarder.AbortRequest{ID: req.id})
+}
+
 // lostEvent returns the event that reports the loss of the connection with its request.
 func (c *nodeConn) lostEvent() forwarder.ConnectionLost {
 	return forwarder.ConnectionLost{Conn: c.id, Unsent: c.request != nil && !c.requestWritten}
--- a/respserver/requests.go
+++ b/respserver/requests.go
@@ -15,7 +15,8 @@
 	client        *client
 	reply         *pendingReply
 	command       objectcommand.Command
-	retainedBytes int // total size of the command's arguments
+	retainedBytes int  // total size of the command's arguments
+	sent          bool // whether the request has been written to a node
 }
 
 // retainArguments copies the command's arguments from the read buffer to a buffer that the request
--- a/respserver/server.go
+++ b/respserver/server.go
@@ -62,6 +62,7 @@
 	requests           map[dispatch.RequestID]*request
 	requestsByClientID map[string]*request
 	lastRequestID      dispatch.RequestID
+	recentIDs          *recentIDs
 
 	limits        memoryLimits
 	partialBytes  int // bytes of incomplete commands, summed over all clients
@@ -111,6 +112,7 @@
 		nodeConns:          map[forwarder.ConnID]*nodeConn{},
 		requests:           map[dispatch.RequestID]*request{},
 		requestsByClientID: map[string]*request{},
+		recentIDs:          newRecentIDs(cfg.perHeapMB(recentIDsPerMB)),
 		limits:             cfg.memoryLimits(),
 		discoveryAddr:      cfg.Discovery,
 		endpointVersion:    cfg.Known.Version,
