eventloop: unread input hides a close only while the receive window may be closed

Linux closes the window only while less than half of the receive buffer is free, and tells both numbers (SO_MEMINFO); below that, unread input hides nothing.

--- a/internal/eventloop/presence.go
+++ b/internal/eventloop/presence.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -21,8 +22,8 @@
 
 // PeerPresence asks the kernel whether the peer has closed its side of the connection. The kernel may
 // know this before it has reported the event to the loop. Unread input hides a close while the receive
-// buffer is full. PeerPresence returns Unknown if the socket has held unread input for longer than
-// maxUnread.
+// window is closed. PeerPresence returns Unknown if that may be so and the socket has held unread input for
+// longer than maxUnread.
 func (c *Conn) PeerPresence(maxUnread time.Duration) Presence {
 	if c.fd < 0 || c.peerClosed || c.closeAfterFlush {
 		return Absent
@@ -36,12 +37,30 @@
 		return Absent
 	case !c.established():
 		return Absent
-	case c.readable && c.loop.clock()-c.unreadSince > maxUnread:
+	case c.readable && c.loop.clock()-c.unreadSince > maxUnread && c.receiveWindowMayBeClosed():
 		return Unknown
 	}
 	return Present
 }
 
+// Positions in the result of the socket option SO_MEMINFO, and their number.
+const (
+	memInfoReceiveAllocated = iota // SK_MEMINFO_RMEM_ALLOC
+	memInfoReceiveBuffer           // SK_MEMINFO_RCVBUF
+	memInfoCount            = 9
+)
+
+// receiveWindowMayBeClosed reports whether unread input fills so much of the receive buffer that the kernel
+// may accept no further bytes. Linux closes the window only while less than half of the buffer is free. If
+// the kernel does not tell, the window may be closed.
+func (c *Conn) receiveWindowMayBeClosed() bool {
+	var info [memInfoCount]uint32
+	size := uint32(unsafe.Sizeof(info))
+	_, _, errno := unix.Syscall6(unix.SYS_GETSOCKOPT, uintptr(c.fd), unix.SOL_SOCKET, unix.SO_MEMINFO,
+		uintptr(unsafe.Pointer(&info[0])), uintptr(unsafe.Pointer(&size)), 0)
+	return errno != 0 || info[memInfoReceiveAllocated] > info[memInfoReceiveBuffer]/2
+}
+
 // tcpEstablished is the state of a TCP connection that neither side has closed.
 const tcpEstablished = 1
 
