serve: buffers of all connections and bodies are bounded in sum (limits.memory)

Cause: heads (32 KiB), buffered bodies (64 KiB, documents 4 MiB) and unread responses are bounded for each connection alone, and there are 8,192 of them; besides, each connection kept the slice of the header fields that it had sent (5 KiB for 100 short ones), and a copy of a head took two allocations a field. Now event loops count the size of their buffers, and limits.memory (64 MiB) bounds them together with buffered bodies over all loops. Beyond it the client whose incomplete head or body, or unread response, has held the most for the longest is rejected with 503 or reset, and a body that does not fit is rejected before it is read. The slice of header fields belongs to the worker. Dispatchers of serve keep 16,384 volumes at most, and traces record the number. Metrics: buffer_bytes, buffers_released_total; the log says when the limit is reached.

--- a/cmd/chalkstand/badclients_fixture_test.go
+++ b/cmd/chalkstand/badclients_fixture_test.go
@@ -49,30 +49,56 @@
 	return file, nil
 })
 
-// limitedRun is the command run as a process of its own, with the resource limits of its configuration.
-type limitedRun struct {
+// limitedProcess is a chalkstand command that runs as a process of its own and is killed if its memory exceeds a
+// limit, as the platform does.
+type limitedProcess struct {
 	addr     string
 	memoryMB int
-	nodes    []*respnode.Node
-	process  *exec.Cmd
+	cmd      *exec.Cmd
 	ended    chan struct{} // closed when the process has ended
 	log      bytes.Buffer  // valid once ended is closed
 	peak     atomic.Int64  // highest anonymous memory of the process, in bytes
 }
 
-// startLimitedRun starts the command run with limits on memory and descriptors, in front of fake nodes.
-func startLimitedRun(t *testing.T, memoryMB, sockets, shards int) *limitedRun {
+// startLimitedProcess starts a command that listens on addr, and waits until it accepts connections.
+func startLimitedProcess(t *testing.T, addr string, memoryMB int, arguments ...string) *limitedProcess {
 	t.Helper()
 	file, err := program()
 	if err != nil {
 		t.Fatal(err)
 	}
+	p := &limitedProcess{addr: addr, memoryMB: memoryMB, ended: make(chan struct{})}
+	p.cmd = exec.CommandContext(t.Context(), file, arguments...)
+	p.cmd.Stderr = &p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = p.cmd.Wait() // a killed process is no error of the test
+		close(p.ended)
+	}()
+	t.Cleanup(func() { p.stop(t) })
+	waitFor(t, "the process does not accept connections", func() bool { return accepts(t.Context(), addr) })
+	go p.watchMemory()
+	return p
+}
+
+// limitedRun is the command run with the resource limits of its configuration.
+type limitedRun struct {
+	*limitedProcess
+	nodes []*respnode.Node
+}
+
+// startLimitedRun starts the command run with limits on memory and descriptors, in front of fake nodes.
+func startLimitedRun(t *testing.T, memoryMB, sockets, shards int) *limitedRun {
+	t.Helper()
 	discovery, err := fakediscovery.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(discovery.Stop)
-	r := &limitedRun{addr: freeTestAddress(t), memoryMB: memoryMB, ended: make(chan struct{})}
+	r := &limitedRun{}
+	addr := freeTestAddress(t)
 	var endpoints []fakediscovery.Endpoint
 	for shard := range shards {
 		node, err := respnode.Start()
@@ -86,7 +112,7 @@
 			ID: fmt.Sprintf("s%d", shard), Addr: node.Addr(), State: "Ready", Shard: shard,
 		})
 	}
-	f := fakeNodes{nodes: shards, configFile: filepath.Join(t.TempDir(), "config.json"), listen: r.addr}
+	f := fakeNodes{nodes: shards, configFile: filepath.Join(t.TempDir(), "config.json"), listen: addr}
 	if err := f.writeConfig(discovery.Addr(), endpoints); err != nil {
 		t.Fatal(err)
 	}
@@ -99,45 +125,34 @@
 	if err := os.WriteFile(f.configFile, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	r.process = exec.CommandContext(t.Context(), file, runName, "--config", f.configFile)
-	r.process.Stderr = &r.log
-	if err := r.process.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		_ = r.process.Wait() // a killed process is no error of the test
-		close(r.ended)
-	}()
-	t.Cleanup(func() { r.stop(t) })
-	waitFor(t, "run does not accept connections", func() bool { return accepts(t.Context(), r.addr) })
-	go r.watchMemory()
+	r.limitedProcess = startLimitedProcess(t, addr, memoryMB, runName, "--config", f.configFile)
 	return r
 }
 
 // stop kills the process and logs its memory.
-func (r *limitedRun) stop(t *testing.T) {
+func (p *limitedProcess) stop(t *testing.T) {
 	t.Helper()
-	_ = r.process.Process.Kill()
-	<-r.ended
-	t.Logf("highest memory: %.1f of %d MB", float64(r.peak.Load())/(1<<20), r.memoryMB)
+	_ = p.cmd.Process.Kill()
+	<-p.ended
+	t.Logf("highest memory: %.1f of %d MB", float64(p.peak.Load())/(1<<20), p.memoryMB)
 	if t.Failed() {
-		t.Logf("log of the process:\n%s", r.log.String())
+		t.Logf("log of the process:\n%s", p.log.String())
 	}
 }
 
 // watchMemory samples the memory of the process until it ends. It kills the process if the memory exceeds its
 // limit, as the platform does.
-func (r *limitedRun) watchMemory() {
+func (p *limitedProcess) watchMemory() {
 	for {
 		select {
-		case <-r.ended:
+		case <-p.ended:
 			return
 		case <-time.After(memorySampleTime):
 		}
-		memory := anonymousMemory(r.process.Process.Pid)
-		r.peak.Store(max(r.peak.Load(), memory))
-		if memory > int64(r.memoryMB)<<20 {
-			_ = r.process.Process.Kill()
+		memory := anonymousMemory(p.cmd.Process.Pid)
+		p.peak.Store(max(p.peak.Load(), memory))
+		if memory > int64(p.memoryMB)<<20 {
+			_ = p.cmd.Process.Kill()
 			return
 		}
 	}
@@ -160,22 +175,22 @@
 
 // throttle gives the process a share of a core, as the platform's limit on CPU time does: in each period it runs for
 // that share and is stopped for the rest.
-func (r *limitedRun) throttle(ctx context.Context, cores float64) {
+func (p *limitedProcess) throttle(ctx context.Context, cores float64) {
 	running := time.Duration(cores * float64(throttlePeriod))
 	for ctx.Err() == nil {
 		time.Sleep(running)
-		_ = r.process.Process.Signal(syscall.SIGSTOP) // fails if the process has ended
+		_ = p.cmd.Process.Signal(syscall.SIGSTOP) // fails if the process has ended
 		time.Sleep(throttlePeriod - running)
-		_ = r.process.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 	}
 }
 
 // checkLimits checks that the process is still running, which means that it has stayed within its limits.
-func (r *limitedRun) checkLimits(t *testing.T) {
+func (p *limitedProcess) checkLimits(t *testing.T) {
 	t.Helper()
 	select {
-	case <-r.ended:
-		t.Errorf("run: ended with %d of %d MB of memory, want it to go on", r.peak.Load()>>20, r.memoryMB)
+	case <-p.ended:
+		t.Errorf("process: ended with %d of %d MB of memory, want it to go on", p.peak.Load()>>20, p.memoryMB)
 	default:
 	}
 }
@@ -205,6 +220,7 @@
 
 // soundClients is a group of clients that send one request after the other, each on its own connection.
 type soundClients struct {
+	protocol soundProtocol
 	wait     sync.WaitGroup
 	mu       sync.Mutex
 	served   int
@@ -215,9 +231,44 @@
 	slowest  time.Duration
 }
 
-// startSoundClients starts clients that read from shard 1 until ctx ends.
-func startSoundClients(ctx context.Context, addr string, count int) *soundClients {
-	g := &soundClients{}
+// soundProtocol encodes the requests of sound clients and reads the replies.
+type soundProtocol interface {
+	// request returns a new request of a client.
+	request(client int64) string
+	// readReply reads the reply to a request.
+	readReply(r *bufio.Reader) (soundOutcome, error)
+}
+
+// soundOutcome is how a request of a sound client ended.
+type soundOutcome int
+
+const (
+	outcomeServed soundOutcome = iota
+	outcomeRejected
+	outcomeFailed
+)
+
+// respProtocol is the platform's protocol. Its clients read from shard 1.
+type respProtocol struct{}
+
+func (respProtocol) request(client int64) string {
+	return getCommand(newRequestID(), 1, client, soundTimeout)
+}
+
+func (respProtocol) readReply(r *bufio.Reader) (soundOutcome, error) {
+	reply, err := respnode.ReadReply(r)
+	switch {
+	case strings.HasPrefix(reply, "$"):
+		return outcomeServed, err
+	case strings.HasPrefix(reply, "-BUSY"):
+		return outcomeRejected, err
+	}
+	return outcomeFailed, err
+}
+
+// startSoundClients starts clients that send requests until ctx ends.
+func startSoundClients(ctx context.Context, addr string, count int, protocol soundProtocol) *soundClients {
+	g := &soundClients{protocol: protocol}
 	for i := range count {
 		g.wait.Go(func() { g.run(ctx, addr, int64(i)) })
 	}
@@ -252,41 +303,41 @@
 // request sends a request and records its reply. If a connection that was used before ends without a reply, the
 // request is sent once more on a new connection, because the server may close an idle connection at any time.
 func (c *soundClient) request() {
-	command := getCommand(newRequestID(), 1, c.volume, soundTimeout)
+	request := c.group.protocol.request(c.volume)
 	start := time.Now()
 	reused := c.conn != nil
-	reply, err := c.exchange(command)
+	outcome, err := c.exchange(request)
 	if err != nil && reused {
-		reply, err = c.exchange(command)
+		outcome, err = c.exchange(request)
 	}
 	if err != nil {
 		err = fmt.Errorf("request after %v, reused connection %v: %w", time.Since(start), reused, err)
 	}
-	c.group.record(reply, err, time.Since(start))
+	c.group.record(outcome, err, time.Since(start))
 }
 
-// exchange sends a command and returns its reply. It closes the connection after an error.
-func (c *soundClient) exchange(command string) (string, error) {
+// exchange sends a request and reads its reply. It closes the connection after an error.
+func (c *soundClient) exchange(request string) (soundOutcome, error) {
 	if c.conn == nil {
 		conn, err := dialClient(c.addr)
 		if err != nil {
-			return "", err
+			return outcomeFailed, err
 		}
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(readTimeout)) // fails only on a closed connection, where the write fails, too
-	reply := ""
-	_, err := io.WriteString(c.conn, command)
+	outcome := outcomeFailed
+	_, err := io.WriteString(c.conn, request)
 	if err == nil {
-		reply, err = respnode.ReadReply(c.reader)
+		outcome, err = c.group.protocol.readReply(c.reader)
 	}
 	if err != nil {
 		c.close()
 	}
-	return reply, err
+	return outcome, err
 }
 
-func (g *soundClients) record(reply string, err error, took time.Duration) {
+func (g *soundClients) record(outcome soundOutcome, err error, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.slowest = max(g.slowest, took)
@@ -294,9 +345,9 @@
 	case err != nil:
 		g.lost++
 		g.lastLoss = err
-	case strings.HasPrefix(reply, "$"):
+	case outcome == outcomeServed:
 		g.served++
-	case strings.HasPrefix(reply, "-BUSY"):
+	case outcome == outcomeRejected:
 		g.rejected++
 	default:
 		g.failed++
--- a/cmd/chalkstand/badclients_test.go
+++ b/cmd/chalkstand/badclients_test.go
@@ -39,7 +39,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), badClientTime)
 	defer cancel()
 	go r.throttle(ctx, leastCores)
-	sound := startSoundClients(ctx, r.addr, soundCount)
+	sound := startSoundClients(ctx, r.addr, soundCount, respProtocol{})
 	bad := startBadClients(ctx, r.addr, count, behave)
 	sound.check(t)
 	bad.Wait()
--- a/gateway/clientconn.go
+++ b/gateway/clientconn.go
@@ -34,10 +34,11 @@
 	state        clientState
 	lastProgress time.Time // when the state last changed or the connection last moved a byte
 	headParser   http1.HeadParser
-	request      http1.Request
-	current      *transaction // the transaction in progress; nil in stateReading
-	previous     *transaction // the last transaction, until the client has received its response
-	volume       *volume      // the volume to which the connection's work is charged
+	current      *transaction  // the transaction in progress; nil in stateReading
+	previous     *transaction  // the last transaction, until the client has received its response
+	partialHead  bool          // whether a part of a request's head has arrived
+	waitingSince time.Duration // time since which the connection waits in its state, or for the rest of a head
+	volume       *volume       // the volume to which the connection's work is charged
 	backoff      backoffEntry
 }
 
@@ -52,6 +53,7 @@
 	c.state = s
 	c.conn.SetNewWork(s == stateReading || s == stateLingering)
 	c.lastProgress = c.worker.now()
+	c.waitingSince = c.worker.gateway.core.now()
 }
 
 // OnData processes input from the client according to the connection's state, and returns the number
@@ -105,6 +107,7 @@
 		return
 	}
 	c.current = nil
+	t.reserveBody(0)
 	if t.responded {
 		return
 	}
@@ -129,7 +132,7 @@
 	if skip := http1.SkipBlank(b); skip > 0 {
 		return skip
 	}
-	n, err := c.headParser.ParseRequest(b, c.worker.httpLimits(), &c.request)
+	n, err := c.headParser.ParseRequest(b, c.worker.httpLimits(), &c.worker.request)
 	if err != nil {
 		t := c.newTransaction()
 		t.closeConn = true
@@ -138,10 +141,12 @@
 		return len(b)
 	}
 	if n == 0 {
+		c.awaitHead()
 		return 0
 	}
+	c.partialHead = false
 	t := c.newTransaction()
-	r := &c.request
+	r := &c.worker.request
 	t.httpMinor = r.Minor
 	t.method = string(r.Method)
 	t.closeConn = r.Close || c.worker.gateway.draining.Load()
@@ -156,6 +161,16 @@
 	return n
 }
 
+// awaitHead records that a part of a head has arrived. The worker releases the largest of these parts if all
+// together need too much memory.
+func (c *clientConn) awaitHead() {
+	if !c.partialHead {
+		c.partialHead = true
+		c.waitingSince = c.worker.gateway.core.now()
+	}
+	c.worker.limitBuffers()
+}
+
 // parseErrorCode returns the object API's error code for a head that is not valid HTTP. The status
 // is the HTTP status that the parser chose for the error.
 func parseErrorCode(status int) string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,13 +57,14 @@
 
 	// nextWorker counts the accepted connections. Modulo the number of workers, it is the index of
 	// the worker that gets the next connection. Only the first worker's loop uses it.
-	nextWorker  int
-	draining    atomic.Bool
-	clientConns atomic.Int64 // number of open client connections
-	inFlight    atomic.Int64 // number of client requests whose response is incomplete
-	goroutines  sync.WaitGroup
-	closeOnce   sync.Once
-	flushOnce   sync.Once // guards the last flush to the attribution worker
+	nextWorker   int
+	draining     atomic.Bool
+	bufferMemory atomic.Int64 // size of the buffers of all connections and of all buffered bodies
+	clientConns  atomic.Int64 // number of open client connections
+	inFlight     atomic.Int64 // number of client requests whose response is incomplete
+	goroutines   sync.WaitGroup
+	closeOnce    sync.Once
+	flushOnce    sync.Once // guards the last flush to the attribution worker
 }
 
 // New builds a gateway and starts its event loops. The gateway accepts no clients until Serve is
@@ -101,7 +102,7 @@
 		}
 	}
 	for i := range cfg.LoopCount() {
-		loop, err := eventloop.NewLoopWithOptions(i, loopOptions(g.cfg, g.core.now))
+		loop, err := eventloop.NewLoopWithOptions(i, loopOptions(g.cfg, g.core.now, &g.bufferMemory))
 		if err != nil {
 			return nil, errors.Join(fmt.Errorf("gateway: %w", err), g.discard())
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,18 +17,22 @@
 
 // metrics holds the gateway's metrics. New registers it as one Prometheus collector.
 type metrics struct {
-	requests      *prometheus.CounterVec
-	latency       prometheus.Histogram
-	attempts      prometheus.Counter
-	rejected      prometheus.Counter // node requests rejected by the dispatcher
-	overloaded    prometheus.Counter // client requests rejected by overload control
-	failed        prometheus.Counter
-	aborted       prometheus.Counter
-	canceled      prometheus.Counter
-	connsRejected prometheus.Counter
-	conns         prometheus.GaugeFunc
-	inFlight      prometheus.GaugeFunc
-	byOperation   [][statusClasses]prometheus.Counter // the counters of requests, indexed by operation and status class
+	requests              *prometheus.CounterVec
+	latency               prometheus.Histogram
+	attempts              prometheus.Counter
+	rejected              prometheus.Counter // node requests rejected by the dispatcher
+	overloaded            prometheus.Counter // client requests rejected by overload control
+	failed                prometheus.Counter
+	aborted               prometheus.Counter
+	canceled              prometheus.Counter
+	connsRejected         prometheus.Counter
+	buffersReleased       prometheus.Counter
+	canceledBeforeAttempt prometheus.Counter
+	unreadInput           prometheus.Counter
+	bufferMemory          prometheus.GaugeFunc
+	conns                 prometheus.GaugeFunc
+	inFlight              prometheus.GaugeFunc
+	byOperation           [][statusClasses]prometheus.Counter // the counters of requests, indexed by operation and status class
 }
 
 // newCounter returns a counter in the gateway's namespace.
@@ -63,6 +67,15 @@
 		aborted:       newCounter("cut_total", "Responses aborted after their head."),
 		canceled:      newCounter("gone_total", "Requests canceled by their clients."),
 		connsRejected: newCounter("connections_refused_total", "Connections closed at the connection limit."),
+		buffersReleased: newCounter("buffers_released_total",
+			"Connections whose buffers were released because limits.memory was reached."),
+		canceledBeforeAttempt: newCounter("canceled_before_attempt_total",
+			"Requests to nodes whose client had left when an attempt was about to begin."),
+		unreadInput: newCounter("unread_input_total",
+			"Requests to nodes that ended because their client may have left behind unread input."),
+		bufferMemory: newGauge("buffer_bytes", "Buffers of all connections and buffered bodies.", func() float64 {
+			return float64(g.bufferMemory.Load())
+		}),
 		conns: newGauge("connections", "Open client connections.", func() float64 {
 			return float64(g.clientConns.Load())
 		}),
@@ -84,7 +97,7 @@
 func (m *metrics) collectors() []prometheus.Collector {
 	return []prometheus.Collector{
 		m.requests, m.latency, m.attempts, m.rejected, m.overloaded, m.failed, m.aborted, m.canceled,
-		m.connsRejected, m.conns, m.inFlight,
+		m.connsRejected, m.buffersReleased, m.canceledBeforeAttempt, m.unreadInput, m.bufferMemory, m.conns, m.inFlight,
 	}
 }
 
--- a/gateway/nodeconn.go
+++ b/gateway/nodeconn.go
@@ -24,7 +24,8 @@
 	result  nodeResult // the complete response, until the forwarder forwards or discards it
 	source  bodySource // the source of a streamed request body; nil once the body has been sent
 
-	lastData time.Time // when the last part of a streamed response arrived
+	sentAt   time.Duration // when the last request was sent
+	lastData time.Time     // when the last part of a streamed response arrived
 
 	gate           *nodeGate
 	grant          *fairshare.Grant[*nodeConn] // permits reading a streamed response; nil if none is held
@@ -70,6 +71,7 @@
 // starts its source.
 func (n *nodeConn) send(r *nodeRequest, a forwarder.SendRequest) {
 	n.request = r
+	n.sentAt = n.worker.gateway.core.now()
 	n.result = nodeResult{}
 	n.conn.AssignFlow(n.worker.chargedVolume(r.transaction).flow)
 	if !n.reader.RequestSent(r.method, r.maxBuffered) { // cannot happen: the forwarder picks an idle connection
--- a/gateway/requestbody.go
+++ b/gateway/requestbody.go
@@ -47,12 +47,18 @@
 
 // startBuffering reads the body into memory and then executes the operation.
 func (t *transaction) startBuffering(r *http1.Request) {
+	if !t.conn.worker.gateway.hasMemoryFor(max(t.body.Length, 0)) {
+		t.closeConn = t.closeConn || !r.None()
+		t.respondSlowDown(memoryRetryAfter)
+		return
+	}
 	// The fields of r point into the input buffer, which is reused before the body is complete, so
 	// they are copied here.
 	request := &http1.Request{Method: []byte(t.method), Target: []byte(string(r.Target)), Headers: r.Headers.Clone()}
 	t.onBody = func(t *transaction) { t.execute(request) }
 	if t.body.Length > 0 {
 		t.buffered = make([]byte, 0, t.body.Length)
+		t.reserveBody(cap(t.buffered))
 	}
 	t.sendContinue()
 	t.conn.setState(stateBufferingBody)
@@ -75,7 +81,10 @@
 		t.closeConn = true
 		t.rejectBody(objectapi.NewError(objectapi.CodeEntityTooLarge, "The document is larger than is taken here."))
 		return used
-	case done:
+	case !done:
+		t.reserveBody(cap(t.buffered))
+		c.worker.limitBuffers()
+	default:
 		t.bodyComplete = true
 		c.setState(stateWaiting)
 		t.enterComponent(attribution.Gateway)
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -63,6 +63,7 @@
 	t.headersSent = true
 	t.conn.conn.Write(b)
 	t.finish()
+	t.conn.worker.limitBuffers()
 }
 
 // respondXML sends v as an XML document with status 200.
--- a/gateway/transaction.go
+++ b/gateway/transaction.go
@@ -28,6 +28,7 @@
 	key      *accessKey
 
 	body         *payload.Body      // decodes the request body; nil if the request has none
+	bodyMemory   int                // size of the buffer of the body, as counted in the worker's body memory
 	buffered     []byte             // the decoded request body, unless the body is streamed
 	onBody       func(*transaction) // called once the whole request body is buffered
 	upload       *upload            // streams the request body to a node; nil if the body is buffered
@@ -109,6 +110,7 @@
 // the metrics, and writes it to the access log.
 func (t *transaction) markResponded() {
 	t.responded = true
+	t.reserveBody(0)
 	g := t.conn.worker.gateway
 	g.inFlight.Add(-1)
 	g.metrics.requestCompleted(t)
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chalkstand/fairshare"
@@ -14,12 +15,14 @@
 )
 
 // loopOptions returns the options of an event loop that uses the function now as its clock.
-func loopOptions(s *settings.Settings, now func() time.Duration) eventloop.Options {
+// The memory of the loop's buffers is counted in bufferMemory.
+func loopOptions(s *settings.Settings, now func() time.Duration, bufferMemory *atomic.Int64) eventloop.Options {
 	share := s.FairSharing
 	return eventloop.Options{
 		Quantum:      share.Quantum,
 		PollInterval: share.PollInterval.D(),
 		Now:          now,
+		BufferMemory: bufferMemory,
 		FairShare: fairshare.Config{
 			ByteTime:         share.ByteTime,
 			Window:           share.Window.D(),
--- a/gateway/worker.go
+++ b/gateway/worker.go
@@ -36,15 +36,18 @@
 	newcomers     *volume            // charged for client connections without an authenticated request
 	gatewayVolume *volume            // charged for work that belongs to no bucket
 
-	gates          map[dispatch.NodeID]*nodeGate
-	contendedGates []*nodeGate // every gate where streams wait, and possibly gates where none wait
-	backoff        backoffQueue
-	batch          attribution.Batch      // entries and reports collected for the attribution worker
-	loopContenders []eventloop.SliceUsage // buffer that recordContenders reuses
-	scratch        []byte                 // buffer in which HTTP heads and chunks are built
-	coarseNow      time.Time              // time of the last sweep, against which time limits are checked
-	date           string                 // value of the Date header for the second dateSecond
-	dateSecond     int64                  // the second for which date was formatted, in Unix time
+	gates             map[dispatch.NodeID]*nodeGate
+	contendedGates    []*nodeGate // every gate where streams wait, and possibly gates where none wait
+	backoff           backoffQueue
+	bodyMemory        int                    // size of the buffered bodies of all transactions
+	nextMemoryWarning time.Duration          // time from which a warning about memory may be logged again
+	request           http1.Request          // the head that readHead parses; its memory is reused for each head
+	batch             attribution.Batch      // entries and reports collected for the attribution worker
+	loopContenders    []eventloop.SliceUsage // buffer that recordContenders reuses
+	scratch           []byte                 // buffer in which HTTP heads and chunks are built
+	coarseNow         time.Time              // time of the last sweep, against which time limits are checked
+	date              string                 // value of the Date header for the second dateSecond
+	dateSecond        int64                  // the second for which date was formatted, in Unix time
 
 	actions      []forwarder.Action // actions that applyActions has not taken yet; guarded by core.mu
 	wakePosted   bool               // applyActions is posted to the loop and has not run yet; guarded by core.mu
@@ -106,6 +109,7 @@
 	for _, n := range w.conns {
 		n.checkTimeout(now)
 	}
+	w.limitBuffers()
 	w.flushBatch()
 	w.loop.RetryAccept()
 }
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -48,6 +48,9 @@
 	readInterest    bool // whether the handler waits for OnReadable
 	peerClosed      bool // whether the kernel has reported that the peer closed its side
 
+	discardKept  bool // whether to release the kept input after the handler has returned from OnData
+	bufferMemory int  // size of the buffers of input and output, as counted on the loop
+
 	unreadSince time.Duration // when the socket's input was found unread after the last time that it was empty
 }
 
@@ -125,11 +128,31 @@
 // Open reports whether the connection is neither closed nor about to be closed.
 func (c *Conn) Open() bool { return c.fd >= 0 && !c.closeAfterFlush }
 
-// DiscardInput releases the received bytes that the handler has not consumed. The handler must not call
-// it inside OnData.
+// DiscardInput releases the received bytes that the handler has not consumed. Inside OnData, these are
+// also the bytes that the handler consumes no more.
 func (c *Conn) DiscardInput() {
-	c.releaseInput()
-	c.redeliver = false
+	c.discardKept = c.delivering
+	if !c.delivering {
+		c.releaseInput()
+		c.countBuffers()
+		c.redeliver = false
+	}
+}
+
+// BufferMemory returns the size of the connection's buffers.
+func (c *Conn) BufferMemory() int { return c.bufferMemory }
+
+// countBuffers updates the connection's part in the memory that the loop counts.
+func (c *Conn) countBuffers() {
+	n := cap(c.input) + cap(c.output)
+	if n == c.bufferMemory {
+		return
+	}
+	c.loop.bufferMemory += n - c.bufferMemory
+	if total := c.loop.options.BufferMemory; total != nil {
+		total.Add(int64(n - c.bufferMemory))
+	}
+	c.bufferMemory = n
 }
 
 // BufferedInput returns how many received bytes the handler has not consumed.
@@ -263,9 +286,16 @@
 	c.delivering = false
 	if c.fd < 0 {
 		c.releaseInput()
+		c.countBuffers()
 		return
 	}
+	if c.discardKept {
+		c.discardKept = false
+		c.redeliver = false
+		consumed = len(b)
+	}
 	c.keepInput(b, consumed)
+	c.countBuffers()
 	c.flushCoalesced()
 }
 
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -26,6 +26,7 @@
 	FairShare    fairshare.Config
 	Quantum      int                  // a time slice starts no further read after this many bytes
 	PollInterval time.Duration        // time for which the loop serves connections between two polls for events
+	BufferMemory *atomic.Int64        // counts the memory of the buffers of all loops that share it; may be nil
 	Now          func() time.Duration // clock of the loop; nil selects the time since the loop was created
 }
 
@@ -62,10 +63,12 @@
 	tasks      map[*task]struct{}
 	readBuffer [ReadSize]byte
 	buffers    bufferPool
-	deferred   []func()
-	timer      timer
-	stopping   bool // whether Run must return; only the loop's goroutine uses it
-	ended      bool // whether the loop accepts no further sockets; only the loop's goroutine uses it
+	// bufferMemory is the size of the buffers of all connections on the loop.
+	bufferMemory int
+	deferred     []func()
+	timer        timer
+	stopping     bool // whether Run must return; only the loop's goroutine uses it
+	ended        bool // whether the loop accepts no further sockets; only the loop's goroutine uses it
 
 	scheduler   *fairshare.Scheduler[*Conn]
 	defaultFlow *Flow // flow of the connections that AssignFlow has not assigned to a flow
@@ -268,6 +271,10 @@
 // Conns returns the number of connections on the loop. It may be called on any goroutine.
 func (l *Loop) Conns() int { return int(l.connCount.Load()) }
 
+// BufferMemory returns the size of the buffers of all connections on the loop. It must be called on the
+// loop.
+func (l *Loop) BufferMemory() int { return l.bufferMemory }
+
 // EachConn calls f for every connection of the loop. It must be called on the loop.
 func (l *Loop) EachConn(f func(*Conn)) {
 	for _, c := range l.conns {
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -60,6 +60,7 @@
 		c.written = 0
 	}
 	c.output = append(c.output, b...)
+	c.countBuffers()
 }
 
 // flushCoalesced writes the output that Write has buffered while the handler was inside OnData.
@@ -110,6 +111,7 @@
 func (c *Conn) dropOutput() {
 	c.output = nil
 	c.written = 0
+	c.countBuffers()
 }
 
 // shutdownWrite sends an end of file. It ignores errors: the call fails only if the connection has
--- a/internal/http1/header.go
+++ b/internal/http1/header.go
@@ -32,9 +32,19 @@
 
 // Clone returns a copy of the headers that does not point into the parsed buffer.
 func (h Headers) Clone() Headers {
+	size := 0
+	for _, header := range h {
+		size += len(header.Name) + len(header.Value)
+	}
+	text := make([]byte, 0, size) // one buffer for all headers, because a head may have very many short ones
+	clone := func(b []byte) []byte {
+		from := len(text)
+		text = append(text, b...)
+		return text[from:len(text):len(text)]
+	}
 	out := make(Headers, len(h))
 	for i, header := range h {
-		out[i] = Header{Name: bytes.Clone(header.Name), Value: bytes.Clone(header.Value)}
+		out[i] = Header{Name: clone(header.Name), Value: clone(header.Value)}
 	}
 	return out
 }
--- a/internal/settings/check_limits.go
+++ b/internal/settings/check_limits.go
@@ -10,6 +10,7 @@
 	minHeaders  = 8        // minimum of limits.headers, in header fields
 	minHead     = 1 * kib  // minimum of limits.head, in bytes
 	minDocument = 1 * kib  // minimum of limits.document, in bytes
+	minMemory   = 1 * mib  // minimum of limits.memory, in bytes
 	maxReplay   = 1 * mib  // maximum of limits.replay, in bytes
 	minLogBytes = 64 * kib // minimum of accounts.log_bytes, in bytes
 )
@@ -22,6 +23,8 @@
 		atLeast(l.Head, minHead, "limits.head"),
 		atLeast(l.Replay, 1, "limits.replay"),
 		atLeast(l.Document, minDocument, "limits.document"),
+		errorUnless(l.Memory >= 2*l.Document && l.Memory >= minMemory, "limits.memory",
+			fmt.Sprintf("at least %d and twice limits.document", minMemory)),
 		atLeast(l.Pipelined, 1, "limits.pipelined"),
 		atLeast(l.FanOut, 1, "limits.fan_out"),
 		atLeast(l.Conns, 1, "limits.conns"),
--- a/internal/settings/convert.go
+++ b/internal/settings/convert.go
@@ -55,6 +55,9 @@
 	return runtime.GOMAXPROCS(0)
 }
 
+// maxVolumes is the largest number of volumes whose records a dispatcher keeps.
+const maxVolumes = 1 << 14
+
 // DispatchConfig returns the dispatcher's configuration.
 func (s *Settings) DispatchConfig() dispatch.Config {
 	r := s.Rules
@@ -67,6 +70,7 @@
 		RoundTrip:       r.RoundTrip.D(),
 		MeanUnits:       r.MeanUnits,
 		MaxUnits:        r.MaxUnits,
+		MaxVolumes:      maxVolumes,
 		Quiescence:      r.Quiescence.D(),
 		RetryBudget:     r.RetryBudget.retryBudget(),
 		SlowStart:       r.SlowStart.slowStart(),
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -48,6 +48,7 @@
 		Head:            32 * kib,
 		Replay:          64 * kib,
 		Document:        4 * mib,
+		Memory:          64 * mib,
 		Pipelined:       32 * kib,
 		FanOut:          16,
 		Conns:           8192,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -142,6 +142,7 @@
 	Head            int      `json:"head"`             // size of a head: its first line and all header fields
 	Replay          int      `json:"replay"`           // size of the largest body that is buffered so that an attempt can be repeated
 	Document        int      `json:"document"`         // size of the largest XML document in a request or a list response
+	Memory          int      `json:"memory"`           // total size of the buffers of all connections and of buffered bodies
 	Pipelined       int      `json:"pipelined"`        // size of the pipelined requests that are read in advance from a connection
 	FanOut          int      `json:"fan_out"`          // number of concurrent requests of one scatter-gather operation
 	Conns           int      `json:"conns"`            // number of client connections
--- a/trace/convert.go
+++ b/trace/convert.go
@@ -38,6 +38,7 @@
 		Plans:           convert(c.Plans, encodePlan),
 		MeanUnits:       c.MeanUnits,
 		MaxUnits:        c.MaxUnits,
+		MaxVolumes:      c.MaxVolumes,
 		SlowStart: slowStartRecord{
 			InitialCapacity: c.SlowStart.InitialCapacity,
 			WarmUp:          c.SlowStart.WarmUp,
@@ -68,6 +69,7 @@
 		Plans:           convert(r.Plans, planRecord.decode),
 		MeanUnits:       r.MeanUnits,
 		MaxUnits:        r.MaxUnits,
+		MaxVolumes:      r.MaxVolumes,
 		SlowStart: dispatch.SlowStart{
 			InitialCapacity: r.SlowStart.InitialCapacity,
 			WarmUp:          r.SlowStart.WarmUp,
--- a/trace/record.go
+++ b/trace/record.go
@@ -26,6 +26,7 @@
 	Plans           []planRecord      `json:"Plans"`
 	MeanUnits       float64           `json:"UsualUnits"`
 	MaxUnits        float64           `json:"LargestUnits"`
+	MaxVolumes      int               `json:"MaxVolumes,omitempty"`
 	SlowStart       slowStartRecord   `json:"Cold"`
 	RetryBudget     retryBudgetRecord `json:"Budget"`
 	Quiescence      time.Duration     `json:"Settle"`
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -22,6 +22,7 @@
 		MaxRetryAfter:   time.Second,
 		MeanUnits:       1,
 		MaxUnits:        4,
+		MaxVolumes:      1000,
 		Classes: []dispatch.Class{
 			{Name: "read", LatencyObjective: 200 * time.Millisecond, Deadline: time.Second, PriorityWeight: 1},
 		},
