serve: no attempt begins for a client that has left behind pipelined input

Now each attempt asks the kernel for the client before it is written, as in run: a client that has left is canceled, and a request whose client may have left ends as rejected, or as failed if a node may have run it. A streamed body is left alone, as a node runs no request whose body is incomplete. Metrics: canceled_before_attempt_total, unread_input_total. TestRequestsOfClosedClientAreSentByServe failed before.

--- a/cmd/chalkstand/badclients_serve_test.go
+++ b/cmd/chalkstand/badclients_serve_test.go
@@ -165,3 +165,34 @@
 		t.Run(c.name, func(t *testing.T) { playBadServeClients(t, c.count, c.behave) })
 	}
 }
+
+// TestRequestsOfClosedClientAreSentByServe guards against attempts for a client that has closed its connection
+// behind pipelined input that the gateway has not read.
+func TestRequestsOfClosedClientAreSentByServe(t *testing.T) {
+	for name, unread := range map[string]string{
+		"nothing":   "",
+		"pipelined": strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", unreadBytes/30),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startLimitedServe(t)
+			s.node.Inject(storagenode.Fault{Kind: storagenode.LoseResponse, Hold: 4 * closeTolerance / 3})
+			conn := dialTest(t, s.addr)
+			_ = conn.SetWriteDeadline(time.Now().Add(closeTolerance / 5)) // the gateway does not read all of it
+			sent := time.Now()
+			_, _ = io.WriteString(conn, signedRequest(s.addr, http.MethodPut, "new", "body")+unread)
+			time.Sleep(time.Until(sent.Add(closeTolerance / 5)))
+			_ = conn.Close()
+			closed := time.Since(s.epoch)
+			time.Sleep(soundTimeout)
+			log := s.node.Log()
+			for _, entry := range log {
+				if entry.Arrived-closed > closeTolerance {
+					t.Errorf("attempt: arrived %v after the close of its client, want at most %v", entry.Arrived-closed, closeTolerance)
+				}
+			}
+			if len(log) == 0 {
+				t.Error("attempts: got none, want at least one")
+			}
+		})
+	}
+}
--- a/gateway/nodeconn.go
+++ b/gateway/nodeconn.go
@@ -70,6 +70,9 @@
 // send writes the head and the buffered body of a request to the node. If the body is streamed, send
 // starts its source.
 func (n *nodeConn) send(r *nodeRequest, a forwarder.SendRequest) {
+	if !n.worker.confirmClient(r, a) {
+		return
+	}
 	n.request = r
 	n.sentAt = n.worker.gateway.core.now()
 	n.result = nodeResult{}
@@ -97,6 +100,45 @@
 	}
 }
 
+// maxUnreadInput is the longest time for which a client's pipelined input may stay unread while an attempt
+// begins for it. The close of a client's connection becomes known only behind its unread input.
+const maxUnreadInput = 50 * time.Millisecond
+
+// confirmClient reports whether an attempt of a request may begin, because its client is there. If the client
+// has left, confirmClient closes its connection. If the client may have left behind unread input, it ends the
+// request, unless the unread input is the body of that request.
+func (w *loopWorker) confirmClient(r *nodeRequest, a forwarder.SendRequest) bool {
+	client := r.transaction.conn
+	switch client.conn.PeerPresence(maxUnreadInput) {
+	case eventloop.Absent:
+		w.gateway.metrics.canceledBeforeAttempt.Inc()
+		client.conn.Close()
+		if w.requests[a.ID] == r { // the close has not canceled it, because its transaction has ended
+			w.endUnconfirmed(r, a)
+		}
+		return false
+	case eventloop.Unknown:
+		if r.source != nil {
+			return true // the node executes no request whose body is incomplete
+		}
+		w.gateway.metrics.unreadInput.Inc()
+		w.endUnconfirmed(r, a)
+		return false
+	}
+	return true
+}
+
+// endUnconfirmed ends a request in place of an attempt. It rejects the request if no node has received it, and
+// fails it otherwise.
+func (w *loopWorker) endUnconfirmed(r *nodeRequest, a forwarder.SendRequest) {
+	result := nodeResult{kind: resultRejected, retryAfter: memoryRetryAfter}
+	if a.Attempt > 0 {
+		result = nodeResult{kind: resultFailed}
+	}
+	w.completeRequest(r.id, result)
+	w.handle(forwarder.AbortRequest{ID: r.id})
+}
+
 // bodySent reports to the forwarder that the whole request body is written. The source of the body
 // calls it.
 func (n *nodeConn) bodySent() {
