--- a/respserver/watch.go
+++ b/respserver/watch.go
@@ -44,10 +44,21 @@
 		SilenceTimeout:  discoverySilenceTimeout,
 	}
 	w.ended = discovery.Watch(ctx, s.discoveryAddr.String(), s.endpointVersion, options,
-		func(list endpoints.Document) { s.loop.Post(func() { s.applyEndpoints(w, list) }) },
+		func(list endpoints.Document) { s.applyOnLoop(w, list) },
 		func(err error) { s.loop.Post(func() { s.watchClosed(w, err) }) })
 }
 
+// applyOnLoop applies an endpoint list on the event loop and waits until that is done. A discovery service
+// that sends lists faster than the loop applies them is thereby slowed down, instead of filling the memory.
+func (s *Server) applyOnLoop(w *watch, list endpoints.Document) {
+	applied := make(chan struct{})
+	s.loop.PostOrDrop(func() {
+		s.applyEndpoints(w, list)
+		close(applied)
+	}, func() { close(applied) })
+	<-applied
+}
+
 // applyEndpoints applies an endpoint list that a watch has received. It ignores a list that is older
 // than the known version, unless the list is a snapshot and the first list of its watch: discovery at
 // a new address may have older data than the previous one.
--- a/respserver/watch_test.go
+++ b/respserver/watch_test.go
@@ -1,9 +1,13 @@
 package respserver_test
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,3 +134,34 @@
 		t.Errorf("got %d calls to discovery at the new address, want 1", len(calls))
 	}
 }
+
+// floodingDiscovery is a discovery service that sends the same list again and again at full speed. It returns
+// its address and the number of lists that it has written.
+func floodingDiscovery(t *testing.T, list string, count int) (addr string, sent *atomic.Int32) {
+	t.Helper()
+	sent = new(atomic.Int32)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range count {
+			if _, err := io.WriteString(w, list+"\n"); err != nil {
+				return
+			}
+			sent.Add(1)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), sent
+}
+
+// Lists that arrive faster than the event loop applies them wait at the discovery service, not in memory.
+func TestListsWaitForEventLoop(t *testing.T) {
+	const lists = 20
+	list := strings.Replace(fakediscovery.Document(100, false), "[", "["+strings.Repeat(" ", 1<<20), 1) // more than sockets buffer
+	addr, sent := floodingDiscovery(t, list, lists)
+	f := startFixture(t, 256)
+	f.server.Reload(f.withDiscovery(addr))
+	f.waitFor(func() bool { return sent.Load() > 0 })
+	f.server.RunOnLoop(func() { time.Sleep(time.Second) })
+	if n := sent.Load(); n == lists {
+		t.Errorf("lists that the server took while its event loop was blocked: got all %d, want fewer", n)
+	}
+}
