run: at the connection limit, a client that stopped within its command makes room

Now the one whose incomplete command has cost the most, and that has been silent for 0.5 s, gets BUSY and a close. TestStalledCommandMakesRoom: the new client is served and one stalled client is rejected.

--- a/respserver/clients.go
+++ b/respserver/clients.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sys/unix"
 
 	"chalkstand/forwarder"
+	"chalkstand/internal/bufferlimit"
 	"chalkstand/internal/eventloop"
 	"chalkstand/internal/objectcommand"
 	"chalkstand/internal/resp"
@@ -28,6 +29,7 @@
 	partialCommandTimeout = 10 * time.Second        // maximum time from the first byte of a command to its last
 	unreadReplyTimeout    = 10 * time.Second        // maximum time during which the client reads none of its replies
 	clientIdleTimeout     = 2 * time.Second         // maximum time without an open request
+	stalledAfter          = 500 * time.Millisecond  // silence within a command after which the connection may be evicted
 	lingerTimeout         = 500 * time.Millisecond  // time from the half-close of a connection to its close
 )
 
@@ -57,14 +59,15 @@
 }
 
 // accept takes over a new client connection. At or above the high-water mark, accept first evicts
-// idle connections. At the connection limit, it closes the new connection if it can evict no other.
+// idle connections. At the connection limit, it also evicts a connection with a stalled command, and closes
+// the new connection if it can evict no other.
 func (s *Server) accept(fd int, _ unix.Sockaddr) {
 	for len(s.clients) >= s.cfg.clientHighWaterMark() {
 		if !s.evictIdleClient(minEvictionIdle) {
 			break
 		}
 	}
-	if len(s.clients) >= s.cfg.maxClientConns() && !s.evictIdleClient(0) {
+	if len(s.clients) >= s.cfg.maxClientConns() && !s.evictIdleClient(0) && !s.evictStalledClient() {
 		_ = unix.Close(fd) // Linux releases the descriptor even if close fails, and no data is lost
 		s.stats.refusedAtLimit++
 		return
@@ -103,6 +106,25 @@
 	return true
 }
 
+// evictStalledClient rejects the command that has been incomplete at the greatest cost, if its last bytes
+// arrived more than stalledAfter ago, and closes its connection. It reports whether there was one.
+func (s *Server) evictStalledClient() bool {
+	now := s.now()
+	victim, ok := bufferlimit.Costliest(slices.Values(s.clients), func(cl *client) bufferlimit.Usage {
+		if now-cl.lastReceived < stalledAfter || len(cl.pipeline) > 0 {
+			return bufferlimit.Usage{}
+		}
+		return cl.partialUsage()
+	}, now)
+	if !ok {
+		return false
+	}
+	s.stats.stalledEvicted++
+	victim.rejectPartialCommand(s.cfg.Settings.Dispatch.MaxRetryAfter)
+	victim.conn.Close()
+	return true
+}
+
 // evictableAfter returns the time since the last activity after which the connection may be evicted. A
 // client that has sent no command yet gets more time, because it may still be about to send its first one.
 func (cl *client) evictableAfter(minIdle time.Duration) time.Duration {
--- a/respserver/memory.go
+++ b/respserver/memory.go
@@ -33,7 +33,7 @@
 const (
 	requestsPerMB  = 64
 	volumesPerMB   = 128
-	recentIDsPerMB = 1024
+	recentIDsPerMB = 256
 )
 
 const (
--- a/respserver/memory_test.go
+++ b/respserver/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"chalkstand/fake/respnode"
 )
@@ -81,3 +82,31 @@
 	second.expectReply("-ERR id")
 	f.expectCommands(1)
 }
+
+// At the connection limit, a new client takes the place of one that has stopped within its command, and that
+// client gets a reply.
+func TestStalledCommandMakesRoom(t *testing.T) {
+	f := startFixture(t, 64)
+	var stalled []*client
+	f.server.RunOnLoop(func() { f.server.SetMaxPartialBytes(1 << 20) })
+	for range f.server.MaxClientConns() {
+		c := f.client()
+		c.send(getCommand(f.nextID())[:50])
+		stalled = append(stalled, c)
+	}
+	f.waitOnLoop(func() bool { return f.server.PartialCommands() == f.server.MaxClientConns() })
+	f.server.AdvanceClock(600 * time.Millisecond)
+	f.client().expectPong()
+	rejected := 0
+	for _, c := range stalled {
+		if err := c.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		if reply, err := respnode.ReadReply(c.in); err == nil && strings.HasPrefix(reply, "-BUSY") {
+			rejected++
+		}
+	}
+	if rejected != 1 {
+		t.Errorf("stalled clients with a BUSY reply: got %d, want 1", rejected)
+	}
+}
