--- a/lab/soak/respsystem.go
+++ b/lab/soak/respsystem.go
@@ -21,7 +21,7 @@
 // Resource limits in the server's configuration.
 const (
 	respSockets  = 256
-	respMemoryMB = 128
+	respMemoryMB = 32 // the least that a platform gives a dispatcher
 )
 
 // noticeDelay is the longest time that the server may take to read a new document of the discovery service.
