--- a/lab/invariants/log.go
+++ b/lab/invariants/log.go
@@ -53,6 +53,7 @@
 	Sent    time.Duration
 	Ended   time.Duration // when the client had read the whole response, or when the request ended without one
 	Status  int           // HTTP status; 0: no response
+	NoReply string        // why there is no response, for reports; empty if that is unknown
 
 	Responses      int    // number of responses; bytes after the first response count as another one
 	HasRetryAfter  bool   // the response has a Retry-After header
--- a/lab/invariants/requests.go
+++ b/lab/invariants/requests.go
@@ -20,7 +20,8 @@
 		case r.Responses > 1:
 			c.report(NoRequestLost, r.Ended, []string{r.Tag}, "%s got %d responses", r.Tag, r.Responses)
 		case r.Responses == 0 && !r.ClientCanceled && !lostInCrash && c.log.End > due:
-			c.report(NoRequestLost, r.Ended, []string{r.Tag}, "%s got no response from %s", r.Tag, r.Gateway)
+			c.report(NoRequestLost, r.Ended, []string{r.Tag}, "%s got no response from %s%s",
+				r.Tag, r.Gateway, reasonText(r.NoReply))
 		case r.Responses == 1 && r.Ended > due:
 			late := r.Ended - due + c.params.ResponseTolerance
 			c.report(NoRequestLost, r.Ended, []string{r.Tag}, "%s was answered %v after its deadline", r.Tag, late)
@@ -92,3 +93,11 @@
 		}
 	}
 }
+
+// reasonText returns a reason in the form in which it follows a statement, or "" if there is none.
+func reasonText(reason string) string {
+	if reason == "" {
+		return ""
+	}
+	return " (" + reason + ")"
+}
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -98,6 +99,7 @@
 	conn      net.Conn
 	reader    *bufio.Reader
 	sent      int
+	onConn    int // number of batches of requests that the client has sent on its connection
 }
 
 func newClient(r *run, phase, index int) *client {
@@ -141,6 +143,7 @@
 		return false
 	}
 	c.conn = conn
+	c.onConn = 0
 	c.reader = bufio.NewReader(conn)
 	return true
 }
@@ -169,6 +172,7 @@
 		cancelAfter = minCancelAfter + time.Duration(c.rng.Int64N(int64(cancelAfterSpread)))
 	}
 	deadline := c.deadline(requests, cancelAfter)
+	c.onConn++
 	if _, err := c.conn.Write(batch); err != nil {
 		c.recordAll(requests, c.run.now(), err, cancelAfter > 0)
 		return
@@ -235,9 +239,11 @@
 // recordAll closes the connection and records requests without a complete response. canceling reports whether the
 // client waited only for a short time in order to cancel the requests.
 func (c *client) recordAll(requests []request, sent time.Duration, err error, canceling bool) {
+	reason := fmt.Sprintf("%v; connection from %v, request %d of the connection", err, c.conn.LocalAddr(), c.onConn)
 	c.close()
 	for i, q := range requests {
 		r := c.newRecord(q, sent)
+		r.NoReply = reason
 		var aborted *abortedError
 		switch {
 		case canceling && errors.Is(err, os.ErrDeadlineExceeded):
