--- a/cmd/chalkstand/badclients_fixture_test.go
+++ b/cmd/chalkstand/badclients_fixture_test.go
@@ -358,6 +358,16 @@
 // check waits for the clients, whose context has ended. It checks that each request got its reply in time, and that
 // most were served.
 func (g *soundClients) check(t *testing.T) {
+	t.Helper()
+	g.checkReplies(t)
+	if rejected := g.rejected + g.failed; rejected > g.served {
+		t.Errorf("sound clients: got %d rejected or failed beside %d served, want fewer", rejected, g.served)
+	}
+}
+
+// checkReplies waits for the clients, whose context has ended. It checks that each request got its reply in time, and
+// that some were served.
+func (g *soundClients) checkReplies(t *testing.T) {
 	t.Helper()
 	g.wait.Wait()
 	t.Logf("sound clients: served %d, rejected %d, failed %d, lost %d, slowest %v",
@@ -366,9 +376,6 @@
 		t.Errorf("sound clients: got %d served, %d lost (%v), slowest reply after %v; want each reply within %v",
 			g.served, g.lost, g.lastLoss, g.slowest, soundTimeout+replyTolerance)
 	}
-	if rejected := g.rejected + g.failed; rejected > g.served {
-		t.Errorf("sound clients: got %d rejected or failed beside %d served, want fewer", rejected, g.served)
-	}
 }
 
 // badClient is what one bad client does on a new connection. When it returns, the client opens another.
--- a/cmd/chalkstand/badclients_test.go
+++ b/cmd/chalkstand/badclients_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,6 +59,49 @@
 	}
 }
 
+// largeReply is a reply of a node with the largest value.
+var largeReply = "*3\r\n" + respnode.Bulk(strings.Repeat("v", largestBody)) + "$-1\r\n$-1\r\n"
+
+// TestAllBuffersTogetherExceedMemory guards against clients and nodes that use all kinds of buffers and tables at
+// the same time: incomplete commands, unread replies, unread values, large commands behind a silent node, replies
+// of nodes that stop within a value, and ever new volumes and ids.
+func TestAllBuffersTogetherExceedMemory(t *testing.T) {
+	const shards, silent, cut, large = 4, 0, 2, 3
+	body := strings.Repeat("x", largestBody)
+	put := putCommand("0123456789abcdef", 1, 7, body)
+	pings := strings.Repeat(respnode.Command("PING"), commandsAtOnce)
+	reads := func(shard int) func() string {
+		return func() string { return getCommand(newRequestID(), shard, requestIDs.Load(), time.Second) }
+	}
+	r := startLimitedRun(t, leastMemoryMB, mostSockets, shards)
+	r.nodes[silent].SetDefault(respnode.Behavior{Hang: true})
+	r.nodes[cut].SetDefault(respnode.Behavior{Reply: largeReply[:largestBody/2]})
+	r.nodes[large].SetDefault(respnode.Behavior{Reply: largeReply})
+	ctx, cancel := context.WithTimeout(t.Context(), badClientTime)
+	defer cancel()
+	go r.throttle(ctx, leastCores)
+	sound := startSoundClients(ctx, r.addr, soundCount, respProtocol{})
+	var bad []*sync.WaitGroup
+	for _, c := range []struct {
+		count  int
+		behave badClient
+	}{
+		{150, sendAndWait(put[:len(put)-largestBody/16])},
+		{100, sendAtFullSpeed(func() string { return pings }, false)},
+		{100, sendAtFullSpeed(reads(large), false)},
+		{50, sendAtFullSpeed(reads(cut), true)},
+		{50, sendAtFullSpeed(func() string { return putCommand(newRequestID(), silent, 1, body) }, true)},
+		{50, sendAtFullSpeed(reads(1), true)},
+	} {
+		bad = append(bad, startBadClients(ctx, r.addr, c.count, c.behave))
+	}
+	sound.checkReplies(t)
+	for _, group := range bad {
+		group.Wait()
+	}
+	r.checkLimits(t)
+}
+
 // manyGets returns commands that each read a piece of a new volume under a new id.
 func manyGets() string {
 	var b strings.Builder
