--- a/cmd/chalkstand/badclients_fixture_test.go
+++ b/cmd/chalkstand/badclients_fixture_test.go
@@ -89,8 +89,8 @@
 	nodes []*respnode.Node
 }
 
-// startLimitedRun starts the command run with limits on memory and descriptors, in front of fake nodes.
-func startLimitedRun(t *testing.T, memoryMB, sockets, shards int) *limitedRun {
+// startLimitedRun starts the command run with the least memory and the most descriptors, in front of fake nodes.
+func startLimitedRun(t *testing.T, shards int) *limitedRun {
 	t.Helper()
 	discovery, err := fakediscovery.Start()
 	if err != nil {
@@ -120,12 +120,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	limits := fmt.Sprintf(`"memory_mb":%d,"sockets":%d`, memoryMB, sockets)
+	limits := fmt.Sprintf(`"memory_mb":%d,"sockets":%d`, leastMemoryMB, mostSockets)
 	text = bytes.Replace(text, []byte(`"memory_mb":64,"sockets":512`), []byte(limits), 1)
 	if err := os.WriteFile(f.configFile, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	r.limitedProcess = startLimitedProcess(t, addr, memoryMB, runName, "--config", f.configFile)
+	r.limitedProcess = startLimitedProcess(t, addr, leastMemoryMB, runName, "--config", f.configFile)
 	return r
 }
 
@@ -268,9 +268,9 @@
 }
 
 // startSoundClients starts clients that send requests until ctx ends.
-func startSoundClients(ctx context.Context, addr string, count int, protocol soundProtocol) *soundClients {
+func startSoundClients(ctx context.Context, addr string, protocol soundProtocol) *soundClients {
 	g := &soundClients{protocol: protocol}
-	for i := range count {
+	for i := range soundCount {
 		g.wait.Go(func() { g.run(ctx, addr, int64(i)) })
 	}
 	return g
--- a/cmd/chalkstand/badclients_test.go
+++ b/cmd/chalkstand/badclients_test.go
@@ -36,11 +36,11 @@
 // sound clients.
 func playBadClients(t *testing.T, count int, behave badClient) {
 	t.Helper()
-	r := startLimitedRun(t, leastMemoryMB, mostSockets, 2)
+	r := startLimitedRun(t, 2)
 	ctx, cancel := context.WithTimeout(t.Context(), badClientTime)
 	defer cancel()
 	go r.throttle(ctx, leastCores)
-	sound := startSoundClients(ctx, r.addr, soundCount, respProtocol{})
+	sound := startSoundClients(ctx, r.addr, respProtocol{})
 	bad := startBadClients(ctx, r.addr, count, behave)
 	sound.check(t)
 	bad.Wait()
@@ -73,14 +73,14 @@
 	reads := func(shard int) func() string {
 		return func() string { return getCommand(newRequestID(), shard, requestIDs.Load(), time.Second) }
 	}
-	r := startLimitedRun(t, leastMemoryMB, mostSockets, shards)
+	r := startLimitedRun(t, shards)
 	r.nodes[silent].SetDefault(respnode.Behavior{Hang: true})
 	r.nodes[cut].SetDefault(respnode.Behavior{Reply: largeReply[:largestBody/2]})
 	r.nodes[large].SetDefault(respnode.Behavior{Reply: largeReply})
 	ctx, cancel := context.WithTimeout(t.Context(), badClientTime)
 	defer cancel()
 	go r.throttle(ctx, leastCores)
-	sound := startSoundClients(ctx, r.addr, soundCount, respProtocol{})
+	sound := startSoundClients(ctx, r.addr, respProtocol{})
 	var bad []*sync.WaitGroup
 	for _, c := range []struct {
 		count  int
@@ -158,7 +158,7 @@
 		"further writes": strings.Repeat(puts(), unreadBytes/len(puts())),
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := startLimitedRun(t, leastMemoryMB, mostSockets, 2)
+			r := startLimitedRun(t, 2)
 			r.nodes[0].SetDefault(respnode.Behavior{Hang: true})
 			r.nodes[1].SetDefault(respnode.Behavior{Delay: 4 * closeTolerance / 3, Reply: "-ERR failed\r\n"})
 			conn := dialTest(t, r.addr)
@@ -187,7 +187,7 @@
 
 // TestIDOfCanceledRequestRunsTwice guards against a second execution of a request whose client has left.
 func TestIDOfCanceledRequestRunsTwice(t *testing.T) {
-	r := startLimitedRun(t, leastMemoryMB, mostSockets, 2)
+	r := startLimitedRun(t, 2)
 	node := r.nodes[0]
 	node.SetDefault(respnode.Behavior{Delay: 200 * time.Millisecond})
 	id := newRequestID()
--- a/internal/eventloop/presence_test.go
+++ b/internal/eventloop/presence_test.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +25,22 @@
 func (h *pausingHandler) OnDrained(*Conn)      {}
 func (h *pausingHandler) OnClose(*Conn, error) {}
 
+// writeUntilBlocked writes up to n bytes. It stops early when the kernel accepts no more for a while.
+func writeUntilBlocked(t *testing.T, peer *net.TCPConn, n int) {
+	t.Helper()
+	text := []byte(strings.Repeat("x", 1<<10))
+	for written := 0; written < n; {
+		if err := peer.SetWriteDeadline(time.Now().Add(2 * maxUnread)); err != nil {
+			t.Fatal(err)
+		}
+		accepted, err := peer.Write(text)
+		written += accepted
+		if err != nil && accepted == 0 {
+			return
+		}
+	}
+}
+
 // TestPeerPresence checks that a connection notices the close of its peer while it is paused, and that it is
 // not sure of its peer if unread input may hide the close.
 func TestPeerPresence(t *testing.T) {
@@ -46,10 +63,7 @@
 				t.Fatal(err)
 			}
 			conn := <-h.conn
-			if c.unread > 0 {
-				_ = peer.SetWriteDeadline(time.Now().Add(maxUnread)) // not all of it fits the buffers
-				_, _ = peer.Write([]byte(strings.Repeat("x", c.unread)))
-			}
+			writeUntilBlocked(t, peer, c.unread)
 			if c.closes {
 				if err := peer.CloseWrite(); err != nil {
 					t.Fatal(err)
