eventloop: only the TCP states of a closed peer count as its absence

Reading the change again: a connection that this side had half-closed, or a kernel that does not fill in the state, counted as left by its peer, and with unread input its requests would have been canceled. Now the states after the peer's close are named.

--- a/internal/eventloop/presence.go
+++ b/internal/eventloop/presence.go
@@ -35,7 +35,7 @@
 		return Present
 	case err != nil || n == 0:
 		return Absent
-	case !c.established():
+	case c.peerHasClosed():
 		return Absent
 	case c.readable && c.loop.clock()-c.unreadSince > maxUnread && c.receiveWindowMayBeClosed():
 		return Unknown
@@ -61,12 +61,25 @@
 	return errno != 0 || info[memInfoReceiveAllocated] > info[memInfoReceiveBuffer]/2
 }
 
-// tcpEstablished is the state of a TCP connection that neither side has closed.
-const tcpEstablished = 1
+// States of a TCP connection whose peer has closed its side, as the kernel numbers them.
+const (
+	tcpTimeWait  = 6
+	tcpClose     = 7
+	tcpCloseWait = 8
+	tcpLastAck   = 9
+	tcpClosing   = 11
+)
 
-// established reports whether neither side has closed the connection, as far as the kernel knows. A
-// socket that is not a TCP socket counts as established.
-func (c *Conn) established() bool {
+// peerHasClosed reports whether the kernel has received the close of the peer, behind unread input or not. It
+// reports false for a socket that is not a TCP socket.
+func (c *Conn) peerHasClosed() bool {
 	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	return err != nil || info.State == tcpEstablished
+	if err != nil {
+		return false
+	}
+	switch info.State {
+	case tcpTimeWait, tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
+		return true
+	}
+	return false
 }
