--- a/overload/overload.go
+++ b/overload/overload.go
@@ -64,9 +64,7 @@
 // wasted. Under fair sharing, a flow's requests wait long only if the flow itself exceeds its
 // share. The flow's own queue times are therefore a sufficient signal.
 //
-// The detection follows controlled delay (Nichols and Jacobson, "Controlling Queue Delay",
-// 2012): a standing queue exists if no queue time was below the target for an interval. During
-// overload, the Controller rejects requests that waited for the target or longer, and accepts
+// A Detector observes the queue times. During overload, the Controller rejects requests that waited for the target or longer, and accepts
 // the others, as in Maurer, "Fail at Scale" (2015). The queue then shrinks quickly, because
 // rejections are cheap, and the loop always has work.
 //
@@ -76,10 +74,8 @@
 //
 // A Controller is not safe for concurrent use.
 type Controller struct {
-	cfg        Config
-	overloaded bool
-	steadyAt   time.Duration // time of the last request whose queue time was consistent with overloaded
-	lastSeen   time.Duration // time of the last request
+	cfg      Config
+	detector Detector
 
 	countingSince time.Duration // start of the interval in which accepted and rejected are counted
 	accepted      int
@@ -97,7 +93,7 @@
 }
 
 // Overloaded reports whether the flow counts as overloaded.
-func (c *Controller) Overloaded() bool { return c.overloaded }
+func (c *Controller) Overloaded() bool { return c.detector.Standing() }
 
 // ShouldReject reports whether the caller must reject a request that is about to be served
 // after it has waited for queueTime. If so, it also returns the time after which the client may
@@ -106,8 +102,9 @@
 	if c.cfg.Target == 0 {
 		return 0, false
 	}
-	c.observe(now, queueTime)
-	reject = c.overloaded && queueTime >= c.cfg.Target
+	c.detector.ResetIfIdle(now, c.cfg.Interval)
+	c.detector.Observe(now, queueTime, c.cfg.Target, c.cfg.Interval)
+	reject = c.Overloaded() && queueTime >= c.cfg.Target
 	c.count(now, reject)
 	if !reject {
 		return 0, false
@@ -115,24 +112,6 @@
 	return c.jitteredRetryAfter(), true
 }
 
-// observe updates the overload state from the queue time of a request.
-func (c *Controller) observe(now, queueTime time.Duration) {
-	reachesTarget := queueTime >= c.cfg.Target
-	if now-c.lastSeen > c.cfg.Interval { // an interval without requests proves that there is no standing queue
-		c.overloaded = false
-		c.steadyAt = now
-	}
-	c.lastSeen = now
-	if reachesTarget == c.overloaded {
-		c.steadyAt = now
-		return
-	}
-	if now-c.steadyAt >= c.cfg.Interval {
-		c.overloaded = reachesTarget
-		c.steadyAt = now
-	}
-}
-
 // The Controller doubles the retry time if more than one request was rejected for every
 // doubleAbove accepted requests of an interval. It halves the retry time if fewer than one
 // request was rejected for every halveBelow accepted requests.
