dispatch: waits and refusals follow the caller's time, the work and the reserve

Cause: handleRequest took the longest timeout that any client of a class had had for the time that every client has. Callers with less time, among them those that repeat, looked late, were rejected at once and told to stay away for the longest time allowed. All waits ended at the latency objective, although the caller waits until its own timeout, and the worth of a class and the price of a plan decided who was admitted.

A timeout counts up to the deadline of its class, so that none holds a place for as long as it says. - It is rejected only if it cannot be answered in that time, or if it would join a standing queue (controlled delay, RFC 8289, target 5 % of the shortest deadline of all classes, interval that deadline): then everybody is refused alike, reserved work later than other work. - An idle node gets a request with any time left. Margins take at most half of a short time. Worth and price are read from the settings and used nowhere. - Retry times are what the queue, the limit or the ejection needs. - The expected wait counts the place that must become free first. - D keeps its formula; congestion and the decay of delays use the target and the interval in place of shares of the objective.

Stored traces of earlier builds are as they were: they must decode and encode to the same lines, and traces of their events with today's actions replay without divergence.

--- a/dispatch/concurrency.go
+++ b/dispatch/concurrency.go
@@ -1,5 +1,6 @@
 // This file decides how many requests may be in flight at one node. This limit is the D of
-// C-SFQ(D). Little's law gives the limit, and congestion and ejection lower it. The file owns
+// C-SFQ(D). Little's law gives the limit, and congestion and ejection lower it. A node counts as
+// congested if its delay exceeds the target of a standing queue. The file owns
 // node.completions, which recordResult updates. It reads the estimates of latency.go, loss.go
 // and outlier.go.
 
@@ -18,10 +19,6 @@
 
 	// completionWindow is the time over which the rate of completions at a node is averaged.
 	completionWindow = 3 * time.Second
-
-	// congestionThresholdFactor is the delay above which a node counts as congested, as a
-	// multiple of the tightest latency objective.
-	congestionThresholdFactor = 0.3
 )
 
 // concurrencyLimit returns how many requests of this dispatcher may be in flight at n. The
@@ -35,8 +32,8 @@
 	completions := math.Ceil(n.completions.rate(d.now, completionWindow) * d.tightestObjective.Seconds())
 	limit := min(max(float64(d.concurrencyFloor(n)), completions), maxConcurrency)
 	// A high delay lowers the limit even if other dispatchers cause the congestion.
-	if delay, threshold := d.expectedDelay(n).Seconds(), d.congestionThreshold(); delay > threshold {
-		limit = max(1, limit*threshold/delay)
+	if delay, target := d.expectedDelay(n), d.delayTarget(); delay > target {
+		limit = max(1, limit*float64(target)/float64(delay))
 	}
 	return int(limit)
 }
@@ -52,8 +49,3 @@
 	share := max(1, maxConcurrency/d.cfg.DispatcherCount)
 	return min(minConcurrency, share+min(n.uncongestedResponses/2, 1))
 }
-
-// congestionThreshold returns the delay, in seconds, above which a node counts as congested.
-func (d *Dispatcher) congestionThreshold() float64 {
-	return congestionThresholdFactor * d.tightestObjective.Seconds()
-}
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -37,9 +37,8 @@
 // Class holds the settings for one class of requests.
 type Class struct {
 	Name             string
-	LatencyObjective time.Duration // target for the time to the final answer
-	Deadline         time.Duration // time after which a client gives up
-	PriorityWeight   float64       // value of an answer within the latency objective
+	LatencyObjective time.Duration // target for the time to the final answer; used for the concurrency limit
+	Deadline         time.Duration // longest time that a client waits for the final answer
 	Idempotency      Idempotency
 	// DedupScope and DedupWindow say among which nodes and for how long repeats of a request
 	// are dropped. They apply only if Idempotency is Deduplicated.
@@ -74,7 +73,6 @@
 	Name      string
 	Reserve   float64 // reserved throughput, in units per second
 	Weight    float64 // fair-queuing weight, greater than 0
-	Price     float64 // multiplies the value of answers to the plan's requests
 	RateLimit float64 // rate limit, in units per second; 0 means unlimited
 	Burst     float64 // capacity of the rate limit's token bucket, in units
 	Slack     float64 // units by which the token bucket may be overdrawn
@@ -194,8 +192,6 @@
 		return &ConfigError{path + "LatencyObjective", expectedPositive, c.LatencyObjective}
 	case c.Deadline <= 0:
 		return &ConfigError{path + "Deadline", expectedPositive, c.Deadline}
-	case !isFiniteNonNegative(c.PriorityWeight):
-		return &ConfigError{path + "PriorityWeight", expectedFinite, c.PriorityWeight}
 	case c.Idempotency == Deduplicated && c.DedupWindow < 0:
 		return &ConfigError{path + "DedupWindow", expectedNonNegative, c.DedupWindow}
 	}
@@ -206,8 +202,6 @@
 	switch {
 	case !isFiniteNonNegative(p.Weight) || p.Weight == 0:
 		return &ConfigError{path + "Weight", "a finite number above 0", p.Weight}
-	case !isFiniteNonNegative(p.Price):
-		return &ConfigError{path + "Price", expectedFinite, p.Price}
 	case !isFiniteNonNegative(p.RateLimit):
 		return &ConfigError{path + "RateLimit", expectedFinite, p.RateLimit}
 	case !isFiniteNonNegative(p.Burst):
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -35,7 +35,7 @@
 	started   bool
 
 	tightestObjective time.Duration // the shortest latency objective of all classes
-	maxPriority       float64       // the largest product of a priority weight and a price
+	shortestDeadline  time.Duration // the shortest deadline of all classes
 
 	nodes             map[NodeID]*node
 	nodeOrder         []*node                // sorted by ID
@@ -46,7 +46,6 @@
 	evictionCursor    int       // position in volumeOrder of the record that hasRoomForVolume examined last
 	requests          map[RequestID]*request
 	keyQueues         map[string]*keyQueue
-	maxTimeouts       []time.Duration // the longest timeout that a client has had, by class
 
 	timers       timerqueue.Queue[timerEvent]
 	wakeAt       time.Duration // when the requested TimerFired event is due
@@ -77,19 +76,17 @@
 		cfg:               cfg,
 		rng:               rand.New(rand.NewPCG(seed, 0)),
 		tightestObjective: cfg.Classes[0].LatencyObjective,
+		shortestDeadline:  cfg.Classes[0].Deadline,
 		nodes:             map[NodeID]*node{},
 		nodeByShard:       map[Shard]*node{},
 		throughputByShard: map[Shard]*decayingSum{},
 		volumes:           map[VolumeID]*volume{},
 		requests:          map[RequestID]*request{},
 		keyQueues:         map[string]*keyQueue{},
-		maxTimeouts:       make([]time.Duration, len(cfg.Classes)),
 	}
 	for _, c := range cfg.Classes {
 		d.tightestObjective = min(d.tightestObjective, c.LatencyObjective)
-		for _, p := range cfg.Plans {
-			d.maxPriority = max(d.maxPriority, c.PriorityWeight*p.Price)
-		}
+		d.shortestDeadline = min(d.shortestDeadline, c.Deadline)
 	}
 	return d, nil
 }
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"chalkstand/overload"
 )
 
 const (
@@ -29,12 +31,14 @@
 	listed bool // true until the dispatcher deletes the node after its removal
 
 	// The file fairqueue.go owns the following fields.
-	flows            flowHeap // flows whose head request may be sent
-	virtualTime      float64  // v in the paper: the highest start tag of the requests sent
-	queuedRequests   int
-	queuedUnits      float64
-	backloggedWeight float64       // sum of the weights of flows with queued requests
-	releaseAt        time.Duration // when a timer examines the queue again
+	flows          flowHeap // flows whose head request may be sent
+	virtualTime    float64  // v in the paper: the highest start tag of the requests sent
+	queuedRequests int
+	queuedUnits    float64
+	// queuedReservedUnits is the part of queuedUnits that was within a reserve when it was admitted.
+	queuedReservedUnits float64
+	backloggedWeight    float64       // sum of the weights of flows with queued requests
+	releaseAt           time.Duration // when a timer examines the queue again
 
 	// The file attempts.go owns the following fields.
 	inFlight         int
@@ -55,6 +59,9 @@
 	delayUpdatedAt       time.Duration
 	secondsPerUnit       float64 // service time of a unit without congestion; 0 means unknown
 
+	// The file standingqueue.go owns the following field.
+	detector overload.Detector // whether the node delays the requests of all dispatchers for long
+
 	// The file outlier.go owns the following fields.
 	consecutiveFailures int
 	ejectedUntil        time.Duration
@@ -135,6 +142,7 @@
 		n.consecutiveFailures = 0
 		n.ejectedUntil = 0
 		n.unansweredAttempts = 0
+		n.detector = overload.Detector{}
 	}
 	n.Node = entry
 	n.listed = true
--- a/dispatch/fairqueue.go
+++ b/dispatch/fairqueue.go
@@ -9,6 +9,8 @@
 	"container/heap"
 	"slices"
 	"time"
+
+	"chalkstand/overload"
 )
 
 // flow holds the requests of one volume that are queued at one node. Only the head request has
@@ -28,6 +30,8 @@
 	startTag       float64 // start tag of the head request
 	heapIndex      int     // index of this flow in node.flows; -1 if it is not in the heap
 
+	detector overload.Detector // whether requests of the flow join a standing queue
+
 	throttled     bool          // whether the volume's rate limit blocks the head request now
 	throttledAt   time.Duration // when the current throttled period began
 	throttledTime time.Duration // total length of earlier throttled periods
@@ -68,6 +72,9 @@
 	f.queuedUnits += r.Units
 	n.queuedRequests++
 	n.queuedUnits += r.Units
+	if r.withinReserve {
+		n.queuedReservedUnits += r.Units
+	}
 	r.volume.queuedUnits += r.Units
 	if front {
 		f.requests = slices.Insert(f.requests, 0, r)
@@ -75,7 +82,7 @@
 		f.requests = append(f.requests, r)
 	}
 	f.updateHead()
-	d.setExpiry(r, min(r.objectiveAt, r.deadline-d.cfg.RoundTrip))
+	d.setExpiry(r, r.answerBy)
 	d.markDirty(n)
 }
 
@@ -89,6 +96,9 @@
 	f.queuedUnits -= r.Units
 	n.queuedRequests--
 	n.queuedUnits -= r.Units
+	if r.withinReserve {
+		n.queuedReservedUnits -= r.Units
+	}
 	r.volume.queuedUnits -= r.Units
 	r.flow = nil
 	if f.queuedRequests == 0 {
@@ -99,6 +109,7 @@
 		// Resetting the sums of an empty queue keeps rounding errors from accumulating.
 		n.backloggedWeight = 0
 		n.queuedUnits = 0
+		n.queuedReservedUnits = 0
 	}
 	f.updateHead()
 }
@@ -153,16 +164,15 @@
 	for len(n.flows) > 0 && (n.inFlight < d.concurrencyLimit(n) || d.mayProbe(n)) {
 		f := n.flows[0]
 		r := f.requests[0]
-		late := d.now + d.expectedDelay(n) + n.serviceTime(r.Units) - r.objectiveAt
-		if late > 0 && !d.mayProbe(n) { // r would miss its latency objective at n
-			d.reject(r, late)
+		if !d.answerable(r, n, 0) && !d.mayAttempt(n) {
+			d.reject(r, d.queueDelay(r))
 			continue
 		}
 		at, permission := d.permitSend(r, n)
 		switch {
 		case permission == permitted:
 			d.send(r, n)
-		case permission == forbidden || at > r.objectiveAt:
+		case permission == forbidden || at > r.answerBy:
 			d.reject(r, at-d.now)
 		case permission == volumeThrottled:
 			d.suspendFlow(f, at)
--- a/dispatch/latency.go
+++ b/dispatch/latency.go
@@ -13,9 +13,6 @@
 const (
 	// delayGain is the weight of a new sample in the moving average of the delay.
 	delayGain = 0.25
-	// delayHalfLife is the time in which an estimated delay decays to half, as a multiple of the
-	// tightest latency objective.
-	delayHalfLife = 3.0
 
 	// The service time per unit is estimated as the serviceTimeQuantile quantile of the
 	// observed service times. Each sample moves the estimate by a step proportional to
@@ -40,7 +37,7 @@
 	n.delay += delayGain * (excess - n.delay)
 	n.delayUpdatedAt = d.now
 	n.uncongestedResponses++
-	if excess > d.congestionThreshold() {
+	if excess > d.delayTarget().Seconds() {
 		n.uncongestedResponses = 0
 	}
 }
@@ -59,13 +56,13 @@
 	}
 }
 
-// expectedDelay returns how long an attempt at n is expected to take beyond its service time.
+// expectedDelay returns how long an attempt at n is expected to take beyond its service time. An
+// observed delay loses its weight with the time constant in which a queue counts as standing.
 // The age of the oldest attempt in flight also counts, because it reveals a silent node before
 // any attempt ends. An attempt whose response counts as lost is left out, because it delays no
 // other attempt.
 func (d *Dispatcher) expectedDelay(n *node) time.Duration {
-	age := float64(d.now - n.delayUpdatedAt)
-	delay := seconds(n.delay * math.Exp2(-age/(delayHalfLife*float64(d.tightestObjective))))
+	delay := seconds(n.delay * decayFactor(d.now-n.delayUpdatedAt, d.standingInterval()))
 	n.inFlightRequests = slices.DeleteFunc(n.inFlightRequests, func(r *request) bool {
 		return !r.outstanding || r.node != n
 	})
@@ -79,23 +76,29 @@
 	return delay
 }
 
-// expectedWait estimates how long r would wait in the queue of n. It divides the units that are
-// sent before r, as estimated from the weights of the flows, by the throughput that Little's
-// law gives for the concurrency limit.
-func (d *Dispatcher) expectedWait(r *request, n *node) time.Duration {
-	limit := d.concurrencyLimit(n)
-	if n.inFlight < limit && n.queuedRequests == 0 {
+// expectedWait estimates how long r would wait at the end of its flow f in the queue of n. The
+// units that are sent before r are estimated from the weights of the flows. Before the first of them
+// is sent, one request in flight must end.
+func (d *Dispatcher) expectedWait(r *request, f *flow, n *node) time.Duration {
+	if n.inFlight < d.concurrencyLimit(n) && n.queuedRequests == 0 {
 		return 0
 	}
-	f := d.flowFor(r.volume, n)
 	weightSum := n.backloggedWeight
 	if f.queuedRequests == 0 {
 		weightSum += r.volume.weight
 	}
 	unitsAhead := min(n.queuedUnits, (f.queuedUnits+r.Units)*weightSum/r.volume.weight)
+	return d.workTime(n, unitsAhead+d.meanUnits())
+}
+
+// workTime estimates how long n takes to serve the given units for this dispatcher, by the
+// throughput that Little's law gives for the concurrency limit. While a limit that has fallen is
+// still exceeded, the expected latency is that of the requests in flight.
+func (d *Dispatcher) workTime(n *node, units float64) time.Duration {
 	meanUnits := d.meanUnits()
 	latency := d.expectedDelay(n) + n.serviceTime(meanUnits)
-	return time.Duration(unitsAhead / meanUnits * float64(latency) / float64(limit))
+	concurrency := max(d.concurrencyLimit(n), n.inFlight)
+	return time.Duration(units / meanUnits * float64(latency) / float64(concurrency))
 }
 
 // serviceTime returns how long n takes to serve the given units without congestion.
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -37,7 +37,7 @@
 // lost responses.
 func (d *Dispatcher) updateLossRate(n *node, r *request, e AttemptCompleted) {
 	d.lossRate *= 1 - lossRateGain
-	if (e.Latency - n.serviceTime(r.Units)).Seconds() < d.congestionThreshold() {
+	if e.Latency-n.serviceTime(r.Units) < d.delayTarget() {
 		n.lastPromptSentAt = max(n.lastPromptSentAt, r.sentAt)
 		if r.sentAt > n.lastUnansweredSentAt {
 			d.lossRate += (1 - d.lossRate) * min(1, lossRateGain*float64(n.unansweredAttempts))
@@ -47,7 +47,7 @@
 }
 
 // cancelPresumedLost cancels the first attempt at n whose response counts as lost. The request
-// must be repeatable, and its retry must be able to complete within the latency objective.
+// must be repeatable, and its retry must be able to complete in the time that the client has left.
 func (d *Dispatcher) cancelPresumedLost(n *node) {
 	delay := d.expectedDelay(n)
 	for _, r := range n.inFlightRequests {
@@ -55,7 +55,7 @@
 			r.class.Idempotency == Deduplicated && d.now-r.sentAt < r.class.DedupWindow
 		if repeatable && d.cfg.CancelAttempts && r.state == inFlight && !r.presumedLost &&
 			d.overtaken(r, n, delay) &&
-			d.now+delay+n.serviceTime(r.Units) < r.objectiveAt && d.mayCancel(r, n) {
+			d.now+delay+n.serviceTime(r.Units) < r.answerBy && d.mayCancel(r, n) {
 			r.presumedLost = true
 			d.claimRetry(r, reserved)
 			d.emit(CancelAttempt{ID: r.ID, Attempt: r.attempts - 1})
@@ -64,21 +64,18 @@
 	}
 }
 
-// attemptDeadline returns the deadline of an attempt of r at n. A deadline of 0 stands for the
-// client's own deadline. If responses are being lost, the attempt ends early enough for a retry
-// within the latency objective. If there is no time for a retry, the attempt ends at the
-// objective and frees its place under the concurrency limit.
+// attemptDeadline returns the deadline of an attempt of r at n. If responses are being lost, an
+// attempt ends early enough for another one in the time that the client has left. Otherwise it
+// lasts until the client gives up.
 func (d *Dispatcher) attemptDeadline(r *request, n *node) time.Duration {
-	latency := d.expectedDelay(n) + n.serviceTime(lateAttemptFactor*r.Units)
-	deadline := r.objectiveAt - latency
+	retryTime := d.expectedDelay(n) + n.serviceTime(lateAttemptFactor*r.Units)
+	retryable := r.class.Idempotency != NonIdempotent && n.secondsPerUnit > 0 &&
+		n.consecutiveFailures < ejectionThreshold
 	switch {
-	case d.lossRate < lossRateThreshold:
-		return 0
-	case deadline < d.now+latency:
-		return r.objectiveAt
-	case n.secondsPerUnit == 0 || r.class.Idempotency == NonIdempotent ||
-		n.consecutiveFailures >= ejectionThreshold:
-		return 0
+	case d.lossRate >= lossRateThreshold && retryable && d.now+2*retryTime <= r.answerBy:
+		return r.answerBy - retryTime
+	case r.Timeout > r.class.Deadline:
+		return r.deadline
 	}
-	return deadline
+	return 0 // the client's own deadline
 }
--- a/dispatch/ordering.go
+++ b/dispatch/ordering.go
@@ -29,7 +29,7 @@
 	if q.requests[0] == r && d.now >= q.quiescentAt {
 		return true
 	}
-	d.setExpiry(r, r.objectiveAt)
+	d.setExpiry(r, r.answerBy)
 	d.advanceKeyQueue(q)
 	return false
 }
--- a/dispatch/quota.go
+++ b/dispatch/quota.go
@@ -29,8 +29,16 @@
 	if r.state != queued {
 		missing += v.queuedUnits
 	}
+	return v.earningTime(missing), false
+}
+
+// earningTime returns how long this dispatcher's share of the rate limit takes to earn the given units.
+func (v *volume) earningTime(units float64) time.Duration {
+	if v.plan.RateLimit <= 0 {
+		return 0
+	}
 	rate := v.plan.RateLimit / float64(v.dispatchers)
-	return time.Duration(math.Ceil(max(0, missing)/rate*1e6)) * time.Microsecond, false
+	return time.Duration(math.Ceil(max(0, units)/rate*1e6)) * time.Microsecond
 }
 
 // tokenCapacity returns how many units this dispatcher's share of the token bucket can hold.
@@ -48,6 +56,12 @@
 	v.tokensUpdatedAt = d.now
 }
 
+// hasReserve reports whether the next request of v is within the reserve of v.
+func (d *Dispatcher) hasReserve(v *volume) bool {
+	d.refillReserve(v)
+	return v.reserve >= v.queuedUnits
+}
+
 // refillReserve adds the units that the reserve of v has earned since the last call.
 func (d *Dispatcher) refillReserve(v *volume) {
 	elapsed := (d.now - v.reserveUpdatedAt).Seconds()
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	minRetryAfter         = 50 * time.Millisecond // lower bound of Reject.RetryAfter
-	retryAfterUnavailable = 4 * minRetryAfter     // Reject.RetryAfter if no node serves the shard
+	minRetryAfter     = 50 * time.Millisecond // lower bound of Reject.RetryAfter
+	defaultRetryAfter = 4 * minRetryAfter     // Reject.RetryAfter if nothing tells when a retry may succeed
 )
 
 // requestState says how far a request has come between its arrival and its final answer.
@@ -44,7 +44,8 @@
 	attempts           int           // number of attempts sent so far
 	sentAt             time.Duration // when the last attempt was sent
 	deadline           time.Duration // when the client gives up
-	objectiveAt        time.Duration // when the latency objective expires
+	answerBy           time.Duration // when a response must be here to reach the client in time
+	withinReserve      bool          // whether the volume had reserve for the request when it was admitted
 	arrivalVirtualTime float64       // virtual time of the node when the request was queued there
 
 	ambiguous      bool          // whether an attempt may have been executed
@@ -66,30 +67,23 @@
 		return
 	}
 	d.countBudgetRequest()
-	class := &d.cfg.Classes[e.Class]
-	// A client that repeats a request has already waited for an earlier answer, so its timeout
-	// is shorter than the longest timeout of its class. The difference estimates that wait.
-	d.maxTimeouts[e.Class] = max(d.maxTimeouts[e.Class], e.Timeout)
-	elapsed := d.maxTimeouts[e.Class] - e.Timeout
-	// The latency objective has already passed for a late client retry, and for a client that
-	// repeats requests with short timeouts. Rejecting such a request here keeps it from taking
-	// a place in a queue, reserve or retry budget from other requests.
-	if elapsed >= class.LatencyObjective {
-		d.emit(Reject{ID: e.ID, RetryAfter: d.cfg.MaxRetryAfter})
-		return
-	}
 	if !d.hasRoomForVolume(e.Volume) {
-		d.emit(Reject{ID: e.ID, RetryAfter: d.cfg.MaxRetryAfter})
+		d.emit(Reject{ID: e.ID, RetryAfter: d.cfg.DefaultRetryAfter()})
 		return
 	}
+	class := &d.cfg.Classes[e.Class]
+	// No client waits longer than the deadline of its class. The bound keeps a request with a
+	// longer timeout from holding a place at a silent node for as long as it says.
+	timeout := min(e.Timeout, class.Deadline)
+	deadline := d.now + timeout
 	d.lastSequence++
 	r := &request{
-		Request:     e,
-		class:       class,
-		sequence:    d.lastSequence,
-		deadline:    d.now + e.Timeout,
-		objectiveAt: d.now + min(class.LatencyObjective-elapsed, e.Timeout),
-		volume:      d.volumeFor(e),
+		Request:  e,
+		class:    class,
+		sequence: d.lastSequence,
+		deadline: deadline,
+		answerBy: deadline - min(d.cfg.RoundTrip, timeout/2), // half of a short time stays usable
+		volume:   d.volumeFor(e),
 	}
 	d.requests[r.ID] = r
 	if class.Ordered && r.Key != "" && !d.joinKeyQueue(r) {
@@ -120,7 +114,7 @@
 func (d *Dispatcher) reject(r *request, retryAfter time.Duration) {
 	queueTime := r.queueTimeUntil(d.now)
 	if r.mayReject() {
-		retryAfter = min(max(retryAfter, minRetryAfter), max(d.cfg.MaxRetryAfter, minRetryAfter))
+		retryAfter = d.cfg.boundRetryAfter(retryAfter)
 		d.emit(Reject{ID: r.ID, RetryAfter: retryAfter, QueueTime: queueTime})
 	} else {
 		d.emit(Fail{ID: r.ID, QueueTime: queueTime})
@@ -128,6 +122,15 @@
 	d.finish(r)
 }
 
+// boundRetryAfter limits a retry time to the range from minRetryAfter to c.MaxRetryAfter.
+func (c *Config) boundRetryAfter(retryAfter time.Duration) time.Duration {
+	return min(max(retryAfter, minRetryAfter), max(c.MaxRetryAfter, minRetryAfter))
+}
+
+// DefaultRetryAfter returns the retry time of a rejection whose cause may end at any time, such as
+// a limit on open requests.
+func (c *Config) DefaultRetryAfter() time.Duration { return c.boundRetryAfter(defaultRetryAfter) }
+
 // mayReject reports whether the client may safely retry r: r was not executed, or executing it
 // twice does no harm.
 func (r *request) mayReject() bool {
@@ -167,7 +170,16 @@
 
 // expire rejects r when its expiry timer fires, if r still waits in a queue.
 func (d *Dispatcher) expire(r *request) {
-	if r.state == queued || r.state == queuedByKey {
+	if r.state == queued {
+		d.reject(r, d.queueDelay(r))
+	}
+	if r.state == queuedByKey {
 		d.reject(r, minRetryAfter)
 	}
 }
+
+// queueDelay returns how long a request that joins the queue of r now would wait.
+func (d *Dispatcher) queueDelay(r *request) time.Duration {
+	n := r.node
+	return d.retryAfterAt(n) + d.expectedWait(r, r.flow, n)
+}
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -12,15 +12,15 @@
 const retryDelay = 20 * time.Millisecond
 
 // scheduleRetry schedules another attempt of r if the rules permit it and it can complete
-// within the latency objective. Otherwise it rejects or fails r.
+// in the time that the client has left. Otherwise it rejects or fails r.
 func (d *Dispatcher) scheduleRetry(r *request, last *node, result AttemptResult) {
 	n := d.retryNode(r, last)
 	delay := retryDelay
 	if result == TimedOut || result == Canceled {
 		delay = 0
 	}
-	if d.now+delay+d.expectedDelay(n)+n.serviceTime(r.Units) >= r.objectiveAt || !d.mayRetry(r, n) {
-		d.reject(r, d.expectedDelay(n))
+	if !d.answerable(r, n, delay) || !d.mayRetry(r, n) {
+		d.reject(r, d.retryAfterAt(n))
 		return
 	}
 	d.claimRetry(r, scheduled)
@@ -53,7 +53,7 @@
 	if n := r.node; n.listed && n.State == Ready && d.mayRetry(r, n) {
 		d.enqueue(r, n, true)
 	} else {
-		d.reject(r, minRetryAfter)
+		d.reject(r, d.retryAfterAt(r.node))
 	}
 }
 
--- a/forwarder/requests.go
+++ b/forwarder/requests.go
@@ -56,9 +56,11 @@
 	class := e.Request.Class
 	if len(f.requests) >= f.cfg.MaxRequests || class < 0 || class >= len(f.cfg.Dispatch.Classes) {
 		f.attributeRejection(e)
-		f.emit(Reject{ID: e.Request.ID, Loop: e.Loop, RetryAfter: f.cfg.Dispatch.MaxRetryAfter})
+		f.emit(Reject{ID: e.Request.ID, Loop: e.Loop, RetryAfter: f.cfg.Dispatch.DefaultRetryAfter()})
 		return
 	}
+	// The response still has to reach the client. A client with little time keeps at least half of it.
+	timeout := e.Request.Timeout - min(f.cfg.ResponseMargin, e.Request.Timeout/2)
 	r := &request{
 		req:           e.Request,
 		class:         &f.cfg.Dispatch.Classes[class],
@@ -66,11 +68,12 @@
 		attempt:       -1,
 		notReplayable: e.NotReplayable,
 		chargedUnits:  e.Request.Units,
-		deadline:      f.now + e.Request.Timeout - f.cfg.ResponseMargin,
+		deadline:      f.now + timeout,
 	}
+	r.req.Timeout = timeout
 	r.attribution.span = attribution.StartSpan(f.now, attribution.QueuedUnknown)
 	f.requests[r.req.ID] = r
-	f.notify(e.Request)
+	f.notify(r.req)
 }
 
 func (f *Forwarder) onClientCanceled(e ClientCanceled) {
--- a/trace/record.go
+++ b/trace/record.go
@@ -36,7 +36,7 @@
 	Name             string        `json:"Name"`
 	LatencyObjective time.Duration `json:"Aim"`
 	Deadline         time.Duration `json:"Deadline"`
-	PriorityWeight   float64       `json:"Worth"`
+	Worth            float64       `json:"Worth,omitempty"` // written by earlier builds; nothing uses it
 	Idempotency      int           `json:"Effect"`
 	DedupScope       int           `json:"Group"`
 	DedupWindow      time.Duration `json:"Window"`
@@ -47,7 +47,7 @@
 	Name      string  `json:"Name"`
 	Reserve   float64 `json:"Reserve"`
 	Weight    float64 `json:"Weight"`
-	Price     float64 `json:"Price"`
+	Price     float64 `json:"Price,omitempty"` // written by earlier builds; nothing uses it
 	RateLimit float64 `json:"Limit"`
 	Burst     float64 `json:"Burst"`
 	Slack     float64 `json:"Slack"`
