forwarder, respserver: rejections no longer ask for the longest retry time

Cause: a full pipeline, missing memory, an evicted command, a client that may have left, MaxRequests and a body that a node rejected got MaxRetryAfter, which keeps the caller away although the cause may end at any moment.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -82,7 +82,7 @@
 	if r.notReplayable && r.stage == stageInFlight {
 		f.reportResult(r, result, info, true)
 		if result == dispatch.Rejected {
-			f.respond(r, Reject{ID: r.req.ID, Loop: r.loop, RetryAfter: f.cfg.Dispatch.MaxRetryAfter})
+			f.respond(r, Reject{ID: r.req.ID, Loop: r.loop, RetryAfter: f.cfg.Dispatch.DefaultRetryAfter()})
 		} else {
 			f.respond(r, Fail{ID: r.req.ID, Loop: r.loop, TimedOut: r.timedOut})
 		}
--- a/respserver/clients.go
+++ b/respserver/clients.go
@@ -229,7 +229,7 @@
 	}
 	size := len(command.Piece) + len(command.ID) + len(command.Fields) + len(command.Body)
 	if s.rejecting || !cl.admits(size) {
-		cl.reply(s.busyReply(s.cfg.Settings.Dispatch.MaxRetryAfter))
+		cl.reply(s.busyReply(s.cfg.Settings.Dispatch.DefaultRetryAfter()))
 		return
 	}
 	s.stats.started++
--- a/respserver/eviction.go
+++ b/respserver/eviction.go
@@ -70,7 +70,7 @@
 		return false
 	}
 	s.stats.stalledEvicted++
-	victim.rejectPartialCommand(s.cfg.Settings.Dispatch.MaxRetryAfter)
+	victim.rejectPartialCommand(s.cfg.Settings.Dispatch.DefaultRetryAfter())
 	victim.conn.Close()
 	return true
 }
--- a/respserver/memory.go
+++ b/respserver/memory.go
@@ -99,7 +99,7 @@
 		}
 		s.stats.partialCommandsEvicted++
 		s.warnMemory("incomplete commands", s.partialBytes, s.limits.partialCommands)
-		victim.rejectPartialCommand(s.cfg.Settings.Dispatch.MaxRetryAfter)
+		victim.rejectPartialCommand(s.cfg.Settings.Dispatch.DefaultRetryAfter())
 		if victim != current { // the event loop releases the input of current
 			victim.conn.DiscardInput()
 		}
--- a/respserver/nodes.go
+++ b/respserver/nodes.go
@@ -125,7 +125,7 @@
 	if req.sent {
 		s.finish(req, s.failureReply(false))
 	} else {
-		s.finish(req, s.busyReply(s.cfg.Settings.Dispatch.MaxRetryAfter))
+		s.finish(req, s.busyReply(s.cfg.Settings.Dispatch.DefaultRetryAfter()))
 	}
 	s.handle(forwarder.AbortRequest{ID: req.id})
 }
