dispatch: overload is shared by callers of every kind; lab/callerload measures it

Cause: the new simulation of callers (lab/callerload) showed three faults of the estimates, older than this issue, that waits up to the objective had hidden. The service time was learned from responses that had queued, so that a standing queue hid itself; the delay of a node was remembered although the requests that caused it had ended, or forgotten before many dispatchers had probed once; and attempts that timed out showed no delay at all.

The detector measures its interval from the first delay that contradicts its state. An idle node is one whose queue does not stand.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -122,7 +122,7 @@
 
 // idle reports whether n serves a request at once, as far as this dispatcher knows.
 func (d *Dispatcher) idle(n *node) bool {
-	return n.inFlight == 0 && d.expectedDelay(n) <= d.delayTarget()
+	return n.inFlight == 0 && !n.detector.Standing() && d.expectedDelay(n) <= d.delayTarget()
 }
 
 // answerable reports whether an attempt of r that is sent to n after the given pause is expected to
@@ -149,8 +149,7 @@
 // to more than maxConcurrency. Each dispatcher then leaves a gap between its probes. The gap is
 // the service time of one mean request for every dispatcher above that number.
 func (d *Dispatcher) mayProbe(n *node) bool {
-	excessDispatchers := max(0, d.cfg.DispatcherCount-maxConcurrency/minConcurrency)
-	gap := time.Duration(excessDispatchers) * n.serviceTime(d.meanUnits())
+	gap := d.probeGap(n)
 	if n.inFlight == 1 && n.consecutiveFailures == 0 {
 		gap += d.delayTarget() + n.serviceTime(lateAttemptFactor*d.meanUnits())
 	} else if n.inFlight > 0 {
@@ -158,3 +157,9 @@
 	}
 	return n.queuedRequests <= 1 && d.now-n.lastSentAt >= gap
 }
+
+// probeGap returns the shortest time between two probes of this dispatcher at n.
+func (d *Dispatcher) probeGap(n *node) time.Duration {
+	excessDispatchers := max(0, d.cfg.DispatcherCount-maxConcurrency/minConcurrency)
+	return time.Duration(excessDispatchers) * n.serviceTime(d.meanUnits())
+}
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -59,6 +59,7 @@
 	r.sentAt = d.now
 	r.attempts++
 	n.inFlight++
+	r.concurrency = n.inFlight
 	n.lastSentAt = d.now
 	n.inFlightRequests = append(n.inFlightRequests, r)
 	d.emit(SendAttempt{ID: r.ID, Node: n.ID, Deadline: d.attemptDeadline(r, n), QueueTime: r.queueTime})
@@ -139,6 +140,7 @@
 		n.consecutiveFailures++
 		n.uncongestedResponses = 0
 		if e.Result == TimedOut {
+			d.observeNoResponse(n, r)
 			n.recordUnanswered(r)
 		}
 		if n.consecutiveFailures >= ejectionThreshold {
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -56,6 +56,7 @@
 	// The file latency.go owns the following fields.
 	uncongestedResponses int     // consecutive responses without congestion
 	delay                float64 // expected delay beyond the service time, in seconds
+	delayConcurrency     float64 // requests in flight when the responses behind delay were requested
 	delayUpdatedAt       time.Duration
 	secondsPerUnit       float64 // service time of a unit without congestion; 0 means unknown
 
@@ -137,6 +138,7 @@
 	}
 	if n.Started != entry.Started {
 		n.delay = 0
+		n.delayConcurrency = 0
 		n.secondsPerUnit = 0
 		n.completions = decayingSum{}
 		n.consecutiveFailures = 0
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -43,6 +43,7 @@
 	sequence           uint64        // position in the order of arrival of all requests
 	attempts           int           // number of attempts sent so far
 	sentAt             time.Duration // when the last attempt was sent
+	concurrency        int           // requests in flight at the node with the last attempt, when it was sent
 	deadline           time.Duration // when the client gives up
 	answerBy           time.Duration // when a response must be here to reach the client in time
 	withinReserve      bool          // whether the volume had reserve for the request when it was admitted
--- a/dispatch/standingqueue.go
+++ b/dispatch/standingqueue.go
@@ -34,7 +34,7 @@
 func (d *Dispatcher) observeDelays(f *flow, n *node, own delays) {
 	target, interval := d.delayTarget(), d.standingInterval()
 	f.detector.ResetIfIdle(d.now, interval)
-	f.detector.Observe(d.now, own.queueing(), target, interval)
+	f.detector.Observe(d.now, own.node+own.queueing(), target, interval)
 	n.detector.Observe(d.now, own.node+own.ejection+d.workTime(n, n.queuedReservedUnits), target, interval)
 }
 
--- a/internal/modelcheck/fielduses.go
+++ b/internal/modelcheck/fielduses.go
@@ -114,7 +114,8 @@
 	"dispatch.volume.lastSeen":         ignored, // the dispatcher uses this time only to forget a volume after 30 s without requests
 
 	"dispatch.node.delay":                ignored,
-	"dispatch.node.secondsPerUnit":       ignored, // the function nodeLatency writes this learned value separately
+	"dispatch.node.delayConcurrency":     ignored,
+	"dispatch.node.secondsPerUnit":       ignored, // the function nodeLatency writes these learned values separately
 	"dispatch.node.completions":          ignored, // completions raise the concurrency limit only at 20 or more responses per second
 	"dispatch.node.lastSentAt":           relative,
 	"dispatch.node.lastUnansweredSentAt": relative,
@@ -131,8 +132,8 @@
 
 	"dispatch.decayingSum.updatedAt": relative,
 
-	"overload.Detector.steadyAt": relative,
-	"overload.Detector.lastSeen": relative,
+	"overload.Detector.changingSince": relative,
+	"overload.Detector.lastSeen":      relative,
 
 	"dispatch.keyQueue.quiescentAt": relativeIfFuture,
 
--- a/internal/modelcheck/fingerprint.go
+++ b/internal/modelcheck/fingerprint.go
@@ -150,5 +150,6 @@
 func (p *fingerprinter) nodeLatency(v reflect.Value) {
 	delay, at := v.FieldByName("delay").Float(), time.Duration(v.FieldByName("delayUpdatedAt").Int())
 	p.seconds(delay * math.Exp(-float64(p.now-at)/float64(p.shortestDeadline)))
+	p.seconds(v.FieldByName("delayConcurrency").Float())
 	p.seconds(v.FieldByName("secondsPerUnit").Float())
 }
--- a/layering_test.go
+++ b/layering_test.go
@@ -62,6 +62,7 @@
 	"internal/attributionreport": servers,
 	"internal/modelcheck":        servers,
 	"lab/attributiontest":        servers,
+	"lab/callerload":             servers,
 	"lab/bench":                  servers,
 	"lab/faultinjection":         servers,
 	"lab/invariants":             servers,
--- a/overload/detector.go
+++ b/overload/detector.go
@@ -9,9 +9,10 @@
 //
 // A Detector is not safe for concurrent use.
 type Detector struct {
-	standing bool
-	steadyAt time.Duration // time of the last delay that was consistent with standing
-	lastSeen time.Duration // time of the last delay
+	standing      bool
+	changing      bool          // whether the last delay contradicted standing
+	changingSince time.Duration // time since which all delays have contradicted standing
+	lastSeen      time.Duration // time of the last delay
 }
 
 // Standing reports whether the queue stands.
@@ -23,13 +24,15 @@
 func (d *Detector) Observe(now, delay, target, interval time.Duration) {
 	d.lastSeen = now
 	reachesTarget := delay >= target
-	if reachesTarget == d.standing {
-		d.steadyAt = now
-		return
-	}
-	if now-d.steadyAt >= interval {
+	switch {
+	case reachesTarget == d.standing:
+		d.changing = false
+	case !d.changing:
+		d.changing = true
+		d.changingSince = now
+	case now-d.changingSince >= interval:
 		d.standing = reachesTarget
-		d.steadyAt = now
+		d.changing = false
 	}
 }
 
@@ -38,6 +41,6 @@
 func (d *Detector) ResetIfIdle(now, interval time.Duration) {
 	if now-d.lastSeen > interval {
 		d.standing = false
-		d.steadyAt = now
+		d.changing = false
 	}
 }
