--- a/dispatch/callertime_test.go
+++ b/dispatch/callertime_test.go
@@ -57,8 +57,7 @@
 	var working []RequestID // sent requests, in the order in which the node serves them
 	service := map[RequestID]time.Duration{}
 	var freeAt time.Duration
-	var note func(acts []Action)
-	note = func(acts []Action) {
+	note := func(acts []Action) {
 		for _, a := range acts {
 			log = append(log, fmt.Sprintf("%v %T%+v", r.now, a, a))
 			if a, ok := a.(SendAttempt); ok && a.Deadline == 0 {
--- a/lab/callerload/callerload_test.go
+++ b/lab/callerload/callerload_test.go
@@ -65,9 +65,7 @@
 	{Name: "hasty, little time", Tries: 1, Timeout: 200 * ms, Class: hastyClass},
 }
 
-var (
-	loads = []float64{0.5, 0.8, 1, 1.5, 2, 3}
-)
+var loads = []float64{0.5, 0.8, 1, 1.5, 2, 3}
 
 // run runs a scenario of 20 s with 8 volumes. It sets these fields of the scenario.
 func run(t *testing.T, s Scenario) Result {
@@ -133,22 +131,29 @@
 	for _, dispatchers := range fleets {
 		for _, slowNode := range []float64{1, 4} {
 			for _, load := range []float64{1, 1.5, 3} {
-				for _, kinds := range [][]Kind{mixedKinds, mixedKinds[:1]} {
-					r := run(t, Scenario{Kinds: kinds, Load: load, SlowNode: slowNode, Dispatchers: dispatchers, Seed: 2})
-					if r.Goodput < 0.5 {
-						t.Errorf("%d dispatchers, slow node x%g, load %g, %s first: goodput %.2f, want at least 0.5",
-							dispatchers, slowNode, load, kinds[0].Name, r.Goodput)
-					}
-					if r.DoubleAnswers > 0 || r.LateAnswers > 0 {
-						t.Errorf("%d dispatchers, load %g: %d double and %d late answers, want none",
-							dispatchers, load, r.DoubleAnswers, r.LateAnswers)
-					}
-				}
+				s := Scenario{Load: load, SlowNode: slowNode, Dispatchers: dispatchers, Seed: 2}
+				s.Kinds = mixedKinds
+				checkOverload(t, s)
+				s.Kinds = mixedKinds[:1]
+				checkOverload(t, s)
 			}
 		}
 	}
 }
 
+// checkOverload checks the goodput and the final answers of a scenario.
+func checkOverload(t *testing.T, s Scenario) {
+	t.Helper()
+	r := run(t, s)
+	name := fmt.Sprintf("%d dispatchers, slow node x%g, load %g, %d kinds", s.Dispatchers, s.SlowNode, s.Load, len(s.Kinds))
+	if r.Goodput < 0.5 {
+		t.Errorf("%s: goodput %.2f, want at least 0.5", name, r.Goodput)
+	}
+	if r.DoubleAnswers > 0 || r.LateAnswers > 0 {
+		t.Errorf("%s: %d double and %d late answers, want none", name, r.DoubleAnswers, r.LateAnswers)
+	}
+}
+
 // alike is the largest difference of two served shares that counts as equal treatment.
 const alike = 0.1
 
