dispatch: a node's standing queue is forgotten as long after as its delay

Cause: the detector of a node kept its state through any quiet time, so that among many dispatchers an idle node rejected a caller with little time until a probe was due. Change: the detector is reset after the time that the estimate of the delay lasts.

--- a/dispatch/callertime_test.go
+++ b/dispatch/callertime_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// A node that had a standing queue counts as idle again after a quiet time, also among many dispatchers,
+// each of which must not probe it often.
+func TestStandingQueueIsForgotten(t *testing.T) {
+	for _, dispatchers := range []int{2, 100} {
+		r := standingQueueFixture(t)
+		r.d.cfg.DispatcherCount = dispatchers
+		n := r.d.nodes["n0"]
+		n.inFlight = 0
+		r.advance(time.Minute)
+		n.lastSentAt = r.now // no probe is due
+		id, acts := r.request(Request{Shard: 0, Plan: unlimitedPlan, Timeout: 5 * ms})
+		expectOutcome(t, fmt.Sprintf("%d dispatchers: caller with 5 ms left after a quiet time", dispatchers), acts, id, sent)
+	}
+}
+
 // callerStep is a request of a random workload.
 type callerStep struct {
 	pause   time.Duration
--- a/dispatch/latency.go
+++ b/dispatch/latency.go
@@ -111,8 +111,7 @@
 // any attempt ends. An attempt whose response counts as lost is left out, because it delays no
 // other attempt.
 func (d *Dispatcher) expectedDelay(n *node) time.Duration {
-	memory := d.standingInterval() + d.probeGap(n)
-	delay := seconds(n.delay * decayFactor(d.now-n.delayUpdatedAt, memory) * n.concurrencyShare())
+	delay := seconds(n.delay * decayFactor(d.now-n.delayUpdatedAt, d.delayMemory(n)) * n.concurrencyShare())
 	n.inFlightRequests = slices.DeleteFunc(n.inFlightRequests, func(r *request) bool {
 		return !r.outstanding || r.node != n
 	})
@@ -126,6 +125,9 @@
 	return delay
 }
 
+// delayMemory returns the time constant with which an observed delay of n loses its weight.
+func (d *Dispatcher) delayMemory(n *node) time.Duration { return d.standingInterval() + d.probeGap(n) }
+
 // concurrencyShare returns the number of requests that would be in flight with one more, as a share
 // of those with which the delay of n was observed. It is at most 1, because the delay that other
 // dispatchers cause does not grow with the requests of this one.
--- a/dispatch/standingqueue.go
+++ b/dispatch/standingqueue.go
@@ -29,12 +29,13 @@
 }
 
 // observeDelays updates whether the queues that r would join at n stand. A flow without requests
-// has no queue. The delay of a node may be caused by other dispatchers, so a time without requests
-// does not prove that it has ended.
+// has no queue. The delay of a node may be caused by other dispatchers, so what was observed of it
+// lasts as long as the estimate of the delay.
 func (d *Dispatcher) observeDelays(f *flow, n *node, own delays) {
 	target, interval := d.delayTarget(), d.standingInterval()
 	f.detector.ResetIfIdle(d.now, interval)
 	f.detector.Observe(d.now, own.node+own.queueing(), target, interval)
+	n.detector.ResetIfIdle(d.now, d.delayMemory(n))
 	n.detector.Observe(d.now, own.node+own.ejection+d.workTime(n, n.queuedReservedUnits), target, interval)
 }
 
