dispatch, forwarder: callers that leave early are no evidence against a node

Cause: every time-out counted as a failure of the node. Three callers in a row with less time than the work takes ejected a healthy node for all others; they had been rejected at once before, which hid it. A client that left while a connection was being dialed counted as a failed connection.

Change: a time-out is a failure, and may be a lost response, only if the attempt has lasted longer than the observed delay and four times its work (or the target). It still shows that the delay is at least as long as it waited. An attempt that ends while dialing is ConnectFailed after DialTimeout and NotSent before. The mutation of that line names the new text.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -136,16 +136,25 @@
 		if r.presumedLost { // a lost response is no evidence that the node has failed
 			n.recordUnanswered(r)
 		}
-	case Rejected, TimedOut, ConnectFailed, ConnectionReset:
-		n.consecutiveFailures++
-		n.uncongestedResponses = 0
-		if e.Result == TimedOut {
-			d.observeNoResponse(n, r)
+	case TimedOut:
+		overdue := d.overdue(r, n)
+		d.observeNoResponse(n, r)
+		if overdue {
 			n.recordUnanswered(r)
+			d.recordFailure(n)
 		}
-		if n.consecutiveFailures >= ejectionThreshold {
-			d.eject(n)
-		}
+	case Rejected, ConnectFailed, ConnectionReset:
+		d.recordFailure(n)
 	case ServerError, NotSent:
 	}
 }
+
+// recordFailure counts an attempt at n that failed without a response, and ejects n if there were
+// too many in a row.
+func (d *Dispatcher) recordFailure(n *node) {
+	n.consecutiveFailures++
+	n.uncongestedResponses = 0
+	if n.consecutiveFailures >= ejectionThreshold {
+		d.eject(n)
+	}
+}
--- a/dispatch/callertime_test.go
+++ b/dispatch/callertime_test.go
@@ -55,6 +55,32 @@
 	}
 }
 
+// Callers that leave before a node can have answered are no evidence against the node: others are served
+// as before. Attempts that outlast the node's work by far still are.
+func TestCallersWithLittleTimeEjectNoNode(t *testing.T) {
+	for timeout, isEvidence := range map[time.Duration]bool{5 * ms: false, 30 * ms: false, 900 * ms: true} {
+		for _, learned := range []bool{true, false} {
+			r := newFixture(t, testConfig())
+			if learned {
+				learnServiceTime(r, 40*ms)
+			}
+			for range ejectionThreshold {
+				id, _ := r.request(Request{Shard: 0, Plan: unlimitedPlan, Timeout: timeout})
+				r.now += timeout
+				r.complete(id, 0, TimedOut)
+			}
+			step := fmt.Sprintf("callers that left after %v, service time known: %v", timeout, learned)
+			if ejected := r.d.nodes["n0"].ejectedUntil > r.now; ejected != isEvidence {
+				t.Errorf("%s: got the node ejected: %v, want %v", step, ejected, isEvidence)
+			}
+			id, acts := r.request(Request{Shard: 0, Plan: unlimitedPlan})
+			if got := outcomeOf(acts, id); !isEvidence && got != sent {
+				t.Errorf("%s: next caller %s, want it sent", step, got)
+			}
+		}
+	}
+}
+
 // callerStep is a request of a random workload.
 type callerStep struct {
 	pause   time.Duration
--- a/dispatch/latency.go
+++ b/dispatch/latency.go
@@ -111,7 +111,7 @@
 // any attempt ends. An attempt whose response counts as lost is left out, because it delays no
 // other attempt.
 func (d *Dispatcher) expectedDelay(n *node) time.Duration {
-	delay := seconds(n.delay * decayFactor(d.now-n.delayUpdatedAt, d.delayMemory(n)) * n.concurrencyShare())
+	delay := d.observedDelay(n)
 	n.inFlightRequests = slices.DeleteFunc(n.inFlightRequests, func(r *request) bool {
 		return !r.outstanding || r.node != n
 	})
@@ -125,6 +125,11 @@
 	return delay
 }
 
+// observedDelay returns the delay of n that ended attempts have shown.
+func (d *Dispatcher) observedDelay(n *node) time.Duration {
+	return seconds(n.delay * decayFactor(d.now-n.delayUpdatedAt, d.delayMemory(n)) * n.concurrencyShare())
+}
+
 // delayMemory returns the time constant with which an observed delay of n loses its weight.
 func (d *Dispatcher) delayMemory(n *node) time.Duration { return d.standingInterval() + d.probeGap(n) }
 
--- a/dispatch/outlier.go
+++ b/dispatch/outlier.go
@@ -20,6 +20,13 @@
 	ejectionJitterRange  = 0.5
 )
 
+// overdue reports whether n should have answered the last attempt of r by now. The timeout of an
+// attempt that ended earlier says something about the time of its client, and is no failure of n.
+func (d *Dispatcher) overdue(r *request, n *node) bool {
+	late := max(n.serviceTime(lateAttemptFactor*r.Units), d.delayTarget())
+	return d.now-r.sentAt > d.observedDelay(n)+late
+}
+
 // eject stops sending requests to n for a duration that grows with its consecutive failures.
 func (d *Dispatcher) eject(n *node) {
 	doubling := min(n.consecutiveFailures-ejectionThreshold, maxEjectionDoublings)
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -198,7 +198,11 @@
 	switch r.stage {
 	case stageDialing: // the dial continues, and another request may use the connection
 		c := r.conn
-		f.failAttempt(r, dispatch.ConnectFailed, ResponseInfo{})
+		result := dispatch.NotSent // a client that left early says nothing about the node
+		if f.now-r.attemptStartedAt >= f.cfg.DialTimeout {
+			result = dispatch.ConnectFailed
+		}
+		f.failAttempt(r, result, ResponseInfo{})
 		r.conn = nil
 		c.request = nil
 	case stageInFlight:
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -266,3 +266,29 @@
 		t.Errorf("got cost corrections %v, want %v", reported, want)
 	}
 }
+
+// A client that leaves while a connection is being dialed is no evidence against the node. A dial that
+// has taken DialTimeout is.
+func TestShortTimeoutWhileDialing(t *testing.T) {
+	for timeout, want := range map[time.Duration]dispatch.AttemptResult{
+		20 * ms:  dispatch.NotSent,
+		500 * ms: dispatch.ConnectFailed,
+	} {
+		cfg := testConfig()
+		h := newHarness(t, cfg)
+		h.setNode("a", 0, dispatch.Ready)
+		var results []dispatch.AttemptResult
+		h.f.Trace = func(_ time.Duration, ev dispatch.Event, _ []dispatch.Action) {
+			if e, ok := ev.(dispatch.AttemptCompleted); ok {
+				results = append(results, e.Result)
+			}
+		}
+		h.requests[1] = &testRequest{deadline: timeout}
+		request := dispatch.Request{ID: 1, Class: readClass, Volume: "v", Units: 1, Dispatchers: 1, Timeout: timeout}
+		h.handle(StartRequest{Request: request})
+		h.advance(timeout)
+		if len(results) == 0 || results[0] != want {
+			t.Errorf("client with %v left while dialing: got results %v, want %v first", timeout, results, want)
+		}
+	}
+}
--- a/lab/mutation/forwarder.go
+++ b/lab/mutation/forwarder.go
@@ -102,8 +102,8 @@
 	{
 		Name: "a connection dialed too late is left with its request",
 		File: attemptsFile,
-		From: "\t\tf.failAttempt(r, dispatch.ConnectFailed, ResponseInfo{})\n\t\tr.conn = nil\n\t\tc.request = nil",
-		To:   "\t\tf.failAttempt(r, dispatch.ConnectFailed, ResponseInfo{})\n\t\tr.conn = nil\n\t\t_ = c",
+		From: "\t\tf.failAttempt(r, result, ResponseInfo{})\n\t\tr.conn = nil\n\t\tc.request = nil",
+		To:   "\t\tf.failAttempt(r, result, ResponseInfo{})\n\t\tr.conn = nil\n\t\t_ = c",
 	},
 	{
 		Name: "an attempt that timed out keeps its connection",
--- a/trace/fixtures_test.go
+++ b/trace/fixtures_test.go
@@ -43,7 +43,7 @@
 	for _, c := range []storedTrace{
 		{"callertime/gateway0.trace", 433, 322},
 		{"callertime/gateway1.trace", 581, 455},
-		{"callertime/every-event.trace", 719, 363},
+		{"callertime/every-event.trace", 719, 361},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			stored := c.read(t)
