dispatch: a rejection after its client's time is no failure of the node

Cause: nodes turn away requests that are already over, and three of these in a row ejected a healthy node for all callers. Result: TestLateRejectionsEjectNoNode failed before and passes.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -143,7 +143,11 @@
 			n.recordUnanswered(r)
 			d.recordFailure(n)
 		}
-	case Rejected, ConnectFailed, ConnectionReset:
+	case Rejected:
+		if d.now < r.answerBy { // otherwise the node may reject r because its client's time is over
+			d.recordFailure(n)
+		}
+	case ConnectFailed, ConnectionReset:
 		d.recordFailure(n)
 	case ServerError, NotSent:
 	}
--- a/dispatch/callertime_test.go
+++ b/dispatch/callertime_test.go
@@ -81,6 +81,23 @@
 	}
 }
 
+// A node that rejects a request because its client's time is over has not failed. One that rejects a
+// request with time left has.
+func TestLateRejectionsEjectNoNode(t *testing.T) {
+	for timeout, isEvidence := range map[time.Duration]bool{5 * ms: false, 900 * ms: true} {
+		r := newFixture(t, testConfig())
+		for range ejectionThreshold {
+			id, _ := r.request(Request{Shard: 0, Plan: unlimitedPlan, Class: nonIdempotentClass, Timeout: timeout})
+			r.now += 5 * ms
+			r.complete(id, 0, Rejected)
+			r.handle(ClientCanceled{id})
+		}
+		if ejected := r.d.nodes["n0"].ejectedUntil > r.now; ejected != isEvidence {
+			t.Errorf("rejections of requests with %v left after 5 ms: got the node ejected: %v, want %v", timeout, ejected, isEvidence)
+		}
+	}
+}
+
 // callerStep is a request of a random workload.
 type callerStep struct {
 	pause   time.Duration
