--- a/review/testdata/second/process.go
+++ b/review/testdata/second/process.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -105,13 +106,22 @@
 	listen string
 }
 
+// startTries is the number of addresses that are tried for a dispatcher, as another process may take one meanwhile.
+const startTries = 5
+
 // startDispatcher starts a dispatcher with the command of the deploy file and waits until it answers PING.
 func (t *trial) startDispatcher(index int, discovery string, known any, settings map[string]any) (*dispatcher, error) {
-	listen, err := freeAddr()
-	if err != nil {
-		return nil, err
+	for try := 1; ; try++ {
+		listen, err := freeAddr()
+		if err != nil {
+			return nil, err
+		}
+		d, err := t.startDispatcherAt(listen, index, discovery, known, settings)
+		if err == nil || try == startTries || !strings.Contains(err.Error(), "address already in use") {
+			return d, err
+		}
+		t.note("another process took %s meanwhile", listen)
 	}
-	return t.startDispatcherAt(listen, index, discovery, known, settings)
 }
 
 // startDispatcherAt starts a dispatcher at an address, which is that of its predecessor after a restart.
@@ -171,7 +181,9 @@
 		reply, err := c.call(command("PING"), time.Second)
 		c.close()
 		if err == nil && reply.text == "+PONG" {
-			return nil
+			if time.Sleep(50 * time.Millisecond); !d.ended() { // otherwise another process has answered
+				return nil
+			}
 		}
 	}
 	return errors.New(d.name + " is not ready")
