--- a/review/testdata/second/case10.go
+++ b/review/testdata/second/case10.go
@@ -1,111 +1,158 @@
 package main
 
 import (
-	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"chalkstand/dispatch"
 	"chalkstand/lab/sigv4client"
+	"chalkstand/placement"
 )
 
-func init() { cases["10"] = caseSecondCopy }
+const (
+	keyID     = "REVIEW"
+	keySecret = "review-secret"
+	bucket    = "photos"
+)
+
+// gatewaySettings are the settings of a small deployment of `serve`, in the form of configs/quickstart.jsonc.
+const gatewaySettings = `{
+	"name": "review", "listen": "%s", "region": "us-east-1",
+	"keys": [{"id": "` + keyID + `", "secret": "` + keySecret + `", "buckets": ["*"], "write": true}],
+	"shards": %d,
+	"nodes": [%s],
+	"classes": [
+		{"name": "read", "aim": "300ms", "deadline": "5s", "worth": 3, "effect": "safe"},
+		{"name": "write", "aim": "1s", "deadline": "10s", "worth": 2, "effect": "keyed", "group": "shard", "window": "30s", "in_turn": true},
+		{"name": "list", "aim": "2s", "deadline": "10s", "worth": 1, "effect": "safe"},
+	],
+	"plans": [{"name": "standard", "rate": 2000, "reserve": 1000, "weight": 1, "price": 1}],
+	"buckets": [{"pattern": "*", "plan": "standard"}],
+	"operations": [
+		{"operations": ["GetObject"], "class": "read", "units": 1, "per_mib": 2, "assume_bytes": 65536},
+		{"operations": ["HeadObject", "HeadBucket", "GetBucketLocation", "GetBucketVersioning"], "class": "read", "units": 1},
+		{"operations": ["ListObjects", "ListObjectsV2", "ListMultipartUploads", "ListParts", "ListBuckets"], "class": "list", "units": 2},
+		{"operations": ["*"], "class": "write", "units": 1},
+	],
+	"rules": {"usual_units": 1.5, "largest_units": 64},
+}`
 
-// copyingNode is a stand-in for a storage node of `serve`. Each object holds its own name. Some answers are followed by
-// a second copy, if nothing else waits on the connection by then.
-type copyingNode struct {
-	trial  *trial
-	name   string
-	share  float64 // share of the answers that are followed by a second copy
-	copies atomic.Int64
+// slowProxy passes requests on to a node. While slow is set, lists come a second late.
+type slowProxy struct {
+	trial *trial
+	name  string
+	to    *httputil.ReverseProxy
+	slow  atomic.Bool
 }
 
-const (
-	nodeWork = 2 * time.Millisecond
-	copyLate = 4 * time.Millisecond // the longest time between an answer and its second copy
-)
+const listDelay = time.Second
 
-func (n *copyingNode) start() (string, error) {
+func (p *slowProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.trial.note("%s received %s %s, x-chalkstand-key %q", p.name, r.Method, r.URL, r.Header.Get("x-chalkstand-key"))
+	if p.slow.Load() && r.Method == http.MethodGet && r.URL.Query().Has("list-type") {
+		time.Sleep(listDelay)
+	}
+	p.to.ServeHTTP(w, r)
+}
+
+// startNode starts a storage node of the project, and a proxy in front of it.
+func (t *trial) startNode(shard int) (*slowProxy, string, error) {
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, "", err
+	}
+	name := fmt.Sprintf("node-%d", shard)
+	if _, err := t.startProcess(name, nil, "bin/chalkstand", "node", "--listen", addr, "--id", name,
+		"--shard", fmt.Sprint(shard)); err != nil {
+		return nil, "", err
+	}
+	proxy := &slowProxy{
+		trial: t, name: name, to: httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: addr}),
+	}
+	proxy.to.ModifyResponse = func(r *http.Response) error {
+		t.note("%s answered %s %s: %d", name, r.Request.Method, r.Request.URL, r.StatusCode)
+		return nil
+	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
+		return nil, "", err
 	}
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go n.serve(conn)
+	go func() { _ = http.Serve(ln, proxy) }()
+	return proxy, ln.Addr().String(), awaitTCP(addr)
+}
+
+func awaitTCP(addr string) error {
+	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", addr); err == nil {
+			return conn.Close()
 		}
-	}()
-	return ln.Addr().String(), nil
+	}
+	return errors.New("nothing listens on " + addr)
 }
 
-// contentOf returns the content of an object.
-func contentOf(path string) string { return "content of " + path }
+// objectClient is a client of the object API.
+type objectClient struct {
+	trial *trial
+	addr  string
+}
 
-func (n *copyingNode) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	in := bufio.NewReader(conn)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		time.Sleep(nodeWork)
-		body := contentOf(r.URL.Path)
-		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nETag: \"%x\"\r\nContent-Length: %d\r\n\r\n%s",
-			len(body), len(body), body)
-		if _, err := io.WriteString(conn, answer); err != nil {
-			return
-		}
-		if rand.Float64() >= n.share {
-			continue
-		}
-		_ = conn.SetReadDeadline(time.Now().Add(time.Duration(rand.Int64N(int64(copyLate)))))
-		_, err = in.Peek(1)
-		_ = conn.SetReadDeadline(time.Time{})
-		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
-			n.copies.Add(1)
-			n.trial.note("%s sends a second copy of the answer to %s for %s", n.name, r.Header.Get("x-chalkstand-request"), r.URL.Path)
-			if _, err := io.WriteString(conn, answer); err != nil {
-				return
-			}
+func (c *objectClient) do(method, path, body string) (status int, text string, err error) {
+	r, err := http.NewRequest(method, "http://"+c.addr+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, "", err
+	}
+	sigv4client.Request(r, keyID, keySecret, time.Now())
+	c.trial.note("client sends %s %s", method, path)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	text = string(b)
+	code := ""
+	if _, rest, found := strings.Cut(text, "<Code>"); found {
+		code, _, _ = strings.Cut(rest, "</Code>")
+	}
+	c.trial.note("client: %s %s answered %d %s", method, path, resp.StatusCode, code)
+	return resp.StatusCode, text, err
+}
+
+// keyOn returns a key of the bucket on a shard.
+func keyOn(shards int, shard dispatch.Shard) string {
+	volume := placement.New(shards).Volume(bucket, 0)
+	for i := 0; ; i++ {
+		if key := fmt.Sprintf("line-7/part-%d.jpg", i); volume.Shard(key) == shard {
+			return key
 		}
 	}
 }
 
-// caseSecondCopy: storage nodes answer well, and send a second copy after some answers. No client may get the content
-// of an object that it has not asked for.
-func caseSecondCopy(t *trial) error {
-	const (
-		shards  = 4
-		readers = 12
-		length  = 30 * time.Second
-	)
+func init() { cases["10"] = caseDeletedBucket }
+
+// caseDeletedBucket: a client deletes an empty bucket. While one node is slow to list it, another client writes an
+// object there. The deletion is refused with BucketNotEmpty, so the bucket must still be there.
+func caseDeletedBucket(t *trial) error {
+	const shards = 8 // and one of eight nodes is slow
+	var proxies []*slowProxy
 	var nodes []string
-	var all []*copyingNode
 	for i := range shards {
-		n := &copyingNode{trial: t, name: fmt.Sprintf("node-%d", i)}
-		if t.trouble {
-			n.share = 0.05
-		}
-		addr, err := n.start()
+		proxy, addr, err := t.startNode(i)
 		if err != nil {
 			return err
 		}
-		all = append(all, n)
+		proxies = append(proxies, proxy)
 		nodes = append(nodes, fmt.Sprintf(`{"id": "n%d", "addr": "%s", "shard": %d}`, i, addr, i))
 	}
 	listen, err := freeAddr()
@@ -125,47 +172,49 @@
 		return fmt.Errorf("%w: %s", err, t.log("serve"))
 	}
 	t.start = time.Now()
-	var wg sync.WaitGroup
-	var served, others, foreign atomic.Int64
-	for range readers {
-		wg.Go(func() {
-			client := &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second}
-			for time.Since(t.start) < length {
-				time.Sleep(time.Duration(rand.ExpFloat64() * float64(4*time.Millisecond)))
-				path := fmt.Sprintf("/%s/line-%d/part-%d.jpg", bucket, rand.IntN(10), rand.IntN(1000))
-				r, err := http.NewRequest(http.MethodGet, "http://"+listen+path, nil)
-				if err != nil {
-					return
-				}
-				sigv4client.Request(r, keyID, keySecret, time.Now())
-				resp, err := client.Do(r)
-				if err != nil {
-					others.Add(1)
-					continue
-				}
-				b, err := io.ReadAll(resp.Body)
-				_ = resp.Body.Close()
-				switch {
-				case err != nil || resp.StatusCode != http.StatusOK:
-					others.Add(1)
-				case string(b) != contentOf(path):
-					foreign.Add(1)
-					t.violation("a client asked for %s and got status 200 with %q", path, b)
-				default:
-					served.Add(1)
-				}
-			}
-		})
-	}
-	wg.Wait()
+	c := &objectClient{trial: t, addr: listen}
+	if status, text, err := c.do(http.MethodPut, "/"+bucket, ""); err != nil || status != http.StatusOK {
+		return fmt.Errorf("create the bucket: %d %s %w", status, text, err)
+	}
+	proxies[shards-1].slow.Store(t.trouble)
+	type answer struct {
+		status int
+		err    error
+	}
+	deleted := make(chan answer, 1)
+	go func() {
+		status, _, err := c.do(http.MethodDelete, "/"+bucket, "")
+		deleted <- answer{status, err}
+	}()
+	time.Sleep(300 * time.Millisecond)
+	first, second := keyOn(shards, 0), keyOn(shards, 1)
+	put, _, err := c.do(http.MethodPut, "/"+bucket+"/"+first, "a photo")
+	if err != nil {
+		return err
+	}
+	deletion := <-deleted
+	if deletion.err != nil {
+		return deletion.err
+	}
+	proxies[shards-1].slow.Store(false)
 	if gateway.ended() {
 		return errors.New("the gateway has ended: " + t.log("serve"))
 	}
-	copies := int64(0)
-	for _, n := range all {
-		copies += n.copies.Load()
+	if put != http.StatusOK || deletion.status == http.StatusNoContent {
+		t.note("the bucket was deleted, or the object was not taken: nothing to check")
+		return nil
+	}
+	// The object was taken and the deletion was not. The bucket must serve as before.
+	if status, text, err := c.do(http.MethodGet, "/"+bucket+"?list-type=2", ""); err != nil {
+		return err
+	} else if status != http.StatusOK || !strings.Contains(text, first) {
+		t.violation("the deletion was refused with %d, and the bucket's list does not hold the object that was taken: %d",
+			deletion.status, status)
+	}
+	if status, _, err := c.do(http.MethodPut, "/"+bucket+"/"+second, "a photo"); err != nil {
+		return err
+	} else if status != http.StatusOK {
+		t.violation("the deletion was refused with %d, and a write to the bucket is answered with %d", deletion.status, status)
 	}
-	t.note("%d second copies; %d answers with the right content, %d with another object's, %d of other kinds",
-		copies, served.Load(), foreign.Load(), others.Load())
 	return nil
 }
--- a/review/testdata/second/case7.go
+++ b/review/testdata/second/case7.go
@@ -2,161 +2,93 @@
 
 import (
 	"fmt"
-	"math"
-	"sync"
+	"math/rand/v2"
+	"strings"
 	"time"
 )
 
-func init() { cases["7"] = caseSteppedClock }
+func init() { cases["7"] = caseReplacedServer }
 
-// caseSteppedClock: a storage server dies and comes back cold. The wall clock of its machine was stepped back by an
-// hour before it started again, so the list names a start that is an hour old. All dispatchers together must not push
-// it over.
-func caseSteppedClock(t *trial) error {
+// caseReplacedServer: one of four storage servers takes requests and answers none for a second. Meanwhile the
+// platform has started it anew: from then on the list has another address and start time under its id, and its old
+// address no longer. The old process comes to, answers what it holds, and must get nothing new.
+func caseReplacedServer(t *trial) error {
 	const (
-		servers     = 4
-		dispatchers = 30
-		crashAt     = 8 * time.Second
-		returnAt    = 11 * time.Second
-		toldAt      = 11200 * time.Millisecond
-		loadUntil   = 20 * time.Second
-		step        = time.Hour
-		cores       = 2
-		fullWork    = 47 * time.Millisecond // of a mean request, on a warm core
-		coldFrom    = 0.12
-		warmUp      = 18 * time.Second
-		factor      = 2.5
-		window      = time.Second
-		youngUnits  = 13.0
-		units       = 2
-		usual       = 25.0 // requests a second for each server: 0.6 of its full capacity
-		surge       = 23.0 // requests a second more for the server that returns: 0.55 of its full capacity
-		surgeFrom   = 9 * time.Second
+		servers   = 4
+		hangAt    = 4 * time.Second
+		replaceAt = 4500 * time.Millisecond
+		wakeAt    = 5 * time.Second
+		loadUntil = 15 * time.Second
+		grace     = 250*time.Millisecond + 50*time.Millisecond // of the settings, and the slack on sockets
 	)
+	work := func() time.Duration { return 40 * time.Millisecond }
 	d, err := newDiscovery(t)
 	if err != nil {
 		return err
 	}
-	var mu sync.Mutex
-	var returned time.Time // when the server came back; zero before
-	capacity := func(at time.Time) float64 {
-		mu.Lock()
-		defer mu.Unlock()
-		if returned.IsZero() {
-			return 1
-		}
-		return min(1, coldFrom+(1-coldFrom)*max(0, at.Sub(returned).Seconds())/warmUp.Seconds())
-	}
 	var all []*storage
 	for i := range servers {
-		work := func() time.Duration { return fullWork }
-		if i == 0 {
-			work = func() time.Duration { return time.Duration(float64(fullWork) / capacity(time.Now())) }
-		}
-		s, err := newStorage(t, fmt.Sprintf("s-%d", i), i, cores, work)
+		s, err := newStorage(t, fmt.Sprintf("s-%d(first)", i), i, 2, work)
 		if err != nil {
 			return err
 		}
 		all = append(all, s)
-		d.set(entry{ID: s.name, Addr: s.addr, Zone: "casa-room-1", Kind: "node-std", Cell: i, State: "Ready", Weight: 1})
+		d.set(entry{ID: fmt.Sprintf("s-%d", i), Addr: s.addr, Zone: "casa-room-1", Kind: "node-std", Cell: i, State: "Ready", Weight: 1})
 	}
-	settings := casaSettings(dispatchers, servers)
-	settings["rules"].(map[string]any)["cold_from"] = coldFrom
-	settings["family_info"].(map[string]any)["young_limit"] = youngUnits
-	known := d.whole()
-	started := make(chan error, dispatchers)
-	fleet := make([]*dispatcher, dispatchers)
-	for i := range dispatchers {
-		go func() {
-			var err error
-			fleet[i], err = t.startDispatcher(i, d.addr, known, settings)
-			started <- err
-		}()
-	}
-	for range dispatchers {
-		if err := <-started; err != nil {
-			return err
-		}
+	n, err := t.startDispatcher(0, d.addr, d.whole(), casaSettings(1, servers))
+	if err != nil {
+		return err
 	}
 	t.start = time.Now()
-	var crowd []*clients
-	for _, n := range fleet {
-		c := &clients{trial: t, to: n, retries: true}
-		crowd = append(crowd, c)
-		for i := range servers {
-			next := func() request {
-				return request{
-					class: "photo-read", plan: "standard", piece: "7f3a9c21e0b4d655", volume: volumeOf(i), cell: i,
-					units: units, hosts: dispatchers, wait: 1500 * time.Millisecond,
-				}
+	c := &clients{trial: t, to: n}
+	for i := range servers {
+		c.load(24, 0, loadUntil, func() request {
+			r := request{
+				class: "photo-read", plan: "standard", piece: fmt.Sprintf("%016x", 16*i+rand.IntN(8)), volume: volumeOf(i),
+				cell: i, units: 2, hosts: 1, wait: 1500 * time.Millisecond,
 			}
-			c.load(usual/dispatchers, 0, loadUntil, next)
-			if i == 0 {
-				c.load(surge/dispatchers, surgeFrom, loadUntil, next)
+			if rand.IntN(100) < 35 {
+				r.class, r.write, r.body, r.wait = "photo-write", true, fmt.Sprint(time.Now().UnixMilli()), 4*time.Second
 			}
-		}
+			return r
+		})
 	}
-	// The fall: more than N + 2 x root of N + 2 requests within the window (N + 3 x root of N + 3 for an N under 30).
-	cold := all[0]
-	allowed := func(at time.Time) float64 {
-		n := factor * capacity(at) * cores / fullWork.Seconds() * window.Seconds()
-		n = max(n, youngUnits/units)
-		if n < 30 {
-			return n + 3*math.Sqrt(n) + 3
+	old := all[0]
+	var told time.Time
+	if t.trouble {
+		t.sleepUntil(hangAt)
+		t.note("s-0(first) answers nothing from now on")
+		old.setHeld(true)
+		second, err := newStorage(t, "s-0(second)", 0, 2, work)
+		if err != nil {
+			return err
 		}
-		return n + 2*math.Sqrt(n) + 2
+		t.sleepUntil(replaceAt)
+		told = d.set(entry{
+			ID: "s-0", Addr: second.addr, Zone: "casa-room-1", Kind: "node-std", Cell: 0, State: "Ready", Weight: 1,
+			StartedMS: float64(time.Now().UnixMilli()),
+		})
+		t.sleepUntil(wakeAt)
+		t.note("s-0(first) answers again")
+		old.setHeld(false)
 	}
-	gone := entry{ID: cold.name, Addr: cold.addr, Zone: "casa-room-1", Kind: "node-std", Cell: 0, State: "Gone", Weight: 1}
-	t.sleepUntil(crashAt)
-	t.note("s-0 dies")
-	cold.crash()
-	d.set(gone)
-	t.sleepUntil(returnAt)
-	if err := cold.listen(); err != nil {
-		return err
-	}
-	mu.Lock()
-	returned = time.Now()
-	mu.Unlock()
-	wall := time.Now()
-	if t.trouble {
-		wall = wall.Add(-step)
+	c.wg.Wait()
+	if n.ended() {
+		return fmt.Errorf("the dispatcher has ended: %s", t.log(n.name))
 	}
-	t.note("s-0 is back, cold; by its machine's clock it started at %d", wall.UnixMilli())
-	t.sleepUntil(toldAt)
-	back := gone
-	back.State, back.StartedMS = "Ready", float64(wall.UnixMilli())
-	told := d.set(back)
-	for _, c := range crowd {
-		c.wg.Wait()
+	if !t.trouble {
+		return nil
 	}
-	for _, n := range fleet {
-		if n.ended() {
-			return fmt.Errorf("%s has ended: %s", n.name, t.log(n.name))
+	late := old.since(told.Add(grace))
+	writes := 0
+	for _, a := range late {
+		if strings.EqualFold(a.words[0], "OBJ.PUT") {
+			writes++
 		}
 	}
-	arrivals := cold.since(returned)
-	most, limit, over := 0, 0.0, 0
-	for i := range arrivals {
-		from, count := i, 0
-		for ; from >= 0 && arrivals[i].at.Sub(arrivals[from].at) < window; from-- {
-			if arrivals[from].at.After(told) {
-				count++
-			}
-		}
-		if count > most {
-			most, limit = count, allowed(arrivals[i].at)
-		}
-		if bound := allowed(arrivals[i].at); float64(count) > bound {
-			over++
-			if over == 1 {
-				t.violation("failback: %d requests reached the cold server within 1 s, %.2f s after its return, where it falls "+
-					"over at more than %.1f; all came from dispatchers that had been told of its start",
-					count, arrivals[i].at.Sub(returned).Seconds(), bound)
-			}
-		}
+	if len(late) > 0 {
+		t.violation("drain: %d commands, %d of them writes, were sent to the process that the list no longer has; "+
+			"the last %.3f s after the dispatcher was told", len(late), writes, late[len(late)-1].first.Sub(told).Seconds())
 	}
-	t.note("most requests within 1 s: %d, with a bound of %.1f then; above the bound at %d of %d arrivals", most, limit, over,
-		len(arrivals))
 	return nil
 }
