--- a/review/testdata/second/case9.go
+++ b/review/testdata/second/case9.go
@@ -23,14 +23,14 @@
 		step        = time.Hour
 		cores       = 2
 		fullWork    = 47 * time.Millisecond // of a mean request, on a warm core
-		coldFrom    = 0.12
+		coldFrom    = 0.10
 		warmUp      = 18 * time.Second
 		factor      = 2.5
 		window      = time.Second
 		youngUnits  = 13.0
 		units       = 2
-		usual       = 25.0 // requests a second for each server: 0.6 of its full capacity
-		surge       = 23.0 // requests a second more for the server that returns: 0.55 of its full capacity
+		usual       = 27.0 // requests a second for each server: 0.63 of its full capacity
+		surge       = 26.0 // requests a second more for the server that returns: 0.61 of its full capacity
 		surgeFrom   = 9 * time.Second
 	)
 	d, err := newDiscovery(t)
--- a/review/testdata/second/discovery.go
+++ b/review/testdata/second/discovery.go
@@ -39,9 +39,7 @@
 	version int
 	entries map[string]entry
 	changed map[string]int // version of the last change of each entry
-	down    bool
-	delay   time.Duration // time until a call is answered
-	wake    chan struct{} // closed and replaced at each change
+	wake    chan struct{}  // closed and replaced at each change
 	calls   int
 }
 
@@ -74,23 +72,6 @@
 	return time.Now()
 }
 
-// setDown begins or ends an outage: open watches end, and calls get 503. It returns the time.
-func (d *discovery) setDown(down bool) time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.down = down
-	d.trial.note("discovery down: %v", down)
-	d.notify()
-	return time.Now()
-}
-
-// setDelay sets the time after which calls are answered.
-func (d *discovery) setDelay(delay time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.delay = delay
-}
-
 func (d *discovery) notify() {
 	close(d.wake)
 	d.wake = make(chan struct{})
@@ -123,14 +104,9 @@
 	}
 	d.mu.Lock()
 	d.calls++
-	call, down, delay := d.calls, d.down, d.delay
+	call := d.calls
 	d.mu.Unlock()
-	d.trial.note("discovery call %d: %s, down %v, answered after %v", call, r.URL, down, delay)
-	time.Sleep(delay)
-	if down {
-		http.Error(w, "down", http.StatusServiceUnavailable)
-		return
-	}
+	d.trial.note("discovery call %d: %s", call, r.URL)
 	if r.FormValue("follow") == "" {
 		_ = json.NewEncoder(w).Encode(d.whole())
 		return
@@ -146,11 +122,8 @@
 	defer beat.Stop()
 	for {
 		d.mu.Lock()
-		wake, down, news := d.wake, d.down, d.after(since)
+		wake, news := d.wake, d.after(since)
 		d.mu.Unlock()
-		if down {
-			panic(http.ErrAbortHandler) // the watch ends with a reset
-		}
 		if first || len(news.Servers) > 0 {
 			if json.NewEncoder(w).Encode(news) != nil || flusher.Flush() != nil {
 				return
--- a/review/testdata/second/settings.go
+++ b/review/testdata/second/settings.go
@@ -41,38 +41,6 @@
 	}
 }
 
-// kochiSettings are the settings of a small deployment with the figures of kochi-cellar. Order is left out, as on
-// the platform's own days.
-func kochiSettings(dispatchers, cells int) map[string]any {
-	s := casaSettings(dispatchers, cells)
-	s["tiers"] = []string{"cellar-store"}
-	s["areas"] = []string{"kochi-main"}
-	s["kinds"] = []string{"box-2c", "box-1c"}
-	s["discovery"] = "pushed"
-	s["callers"] = map[string]any{"marks_retry": true}
-	s["classes"] = []any{
-		map[string]any{
-			"name": "stock-read", "credit": 2.0, "slo_ms": 150.0, "deadline_ms": 1000.0, "late_worth": 0.2,
-			"effect": "idempotent", "group": "all", "window_ms": 5000.0, "stream": false,
-		},
-		map[string]any{
-			"name": "order-write", "credit": 2.0, "slo_ms": 300.0, "deadline_ms": 1500.0, "late_worth": 0.2,
-			"effect": "deduplicated", "group": "cell", "window_ms": 2500.0, "stream": false,
-		},
-	}
-	rules := s["rules"].(map[string]any)
-	rules["drain_grace_ms"] = 500.0
-	rules["cold_from"] = 0.17
-	rules["overload_factor"] = 4.0
-	rules["overload_for_ms"] = 1500.0
-	rules["warm_up_ms"] = 17000.0
-	rules["resend_ratio"] = 0.25
-	limits := s["limits"].(map[string]any)
-	limits["max_retry_after_ms"] = 500.0
-	limits["multiplex"] = 32
-	return s
-}
-
 func volumeOf(cell int) string {
 	return []string{
 		"00000003b4d60021", "00000003b4d60022", "00000003b4d60023", "00000003b4d60024"}[cell%4]
--- a/review/testdata/second/storage.go
+++ b/review/testdata/second/storage.go
@@ -33,12 +33,8 @@
 	conns    map[net.Conn]bool
 	waiting  int
 	inflight int
-	draining bool
-	fallen   bool
-	held     chan struct{} // while not nil, the server takes requests and answers none until it is closed
 	values   map[string]string
 	arrivals []arrival
-	onArrive func(arrival)
 }
 
 func newStorage(t *trial, name string, cell, cores int, work func() time.Duration) (*storage, error) {
@@ -118,24 +114,17 @@
 	a := arrival{words: words, first: first, at: time.Now()}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, a)
-	held, onArrive := s.held, s.onArrive
 	wrongCell := f["shard"] != "-1" && f["shard"] != strconv.Itoa(s.cell)
-	refused := wrongCell || s.draining || s.waiting >= s.queue
+	refused := wrongCell || s.waiting >= s.queue
 	if !refused {
 		s.waiting++
 		s.inflight++
 	}
 	s.mu.Unlock()
 	s.trial.noteAt(first, "%s received %s %s piece %s d=%s", s.name, words[0], a.id(), words[1], f["d"])
-	if onArrive != nil {
-		onArrive(a)
-	}
 	if refused {
 		return "-BUSY\r\n"
 	}
-	if held != nil {
-		<-held
-	}
 	s.cores <- struct{}{}
 	s.mu.Lock()
 	s.waiting--
@@ -153,24 +142,6 @@
 	return "*3\r\n" + value + "$-1\r\n" + bulk(fmt.Sprintf("inflight=%d", s.inflight))
 }
 
-// setHeld begins or ends the time in which the server takes requests and answers none.
-func (s *storage) setHeld(held bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if held {
-		s.held = make(chan struct{})
-		return
-	}
-	close(s.held)
-	s.held = nil
-}
-
-func (s *storage) setDraining() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining = true
-}
-
 // since returns the commands whose first byte came after the given time.
 func (s *storage) since(at time.Time) []arrival {
 	s.mu.Lock()
