dispatch, forwarder: an event Shutdown gives every request its final answer

Nothing told the state machines that the gateway ends, so nothing could decide between a rejection and a failure for the requests that were still open. Shutdown makes the dispatcher answer what waits, by the rule that it has for every other answer (mayReject), and permits no further attempt; the forwarder ends attempts in flight and detached uploads. Responses whose head the client has keep streaming. Nothing sends the event yet.

The model checker has a move for it, a scenario, and two checks: no request is open after it, nothing is sent after it. The mutant whose pattern moved into abandonDial is adapted.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -33,6 +33,8 @@
 	now       time.Duration
 	startedAt time.Duration // time of the first event
 	started   bool
+	// shuttingDown is true after the event Shutdown. No attempt starts any more.
+	shuttingDown bool
 
 	tightestObjective time.Duration // the shortest latency objective of all classes
 	shortestDeadline  time.Duration // the shortest deadline of all classes
@@ -111,6 +113,8 @@
 		d.handleClientCanceled(e)
 	case CostCorrection:
 		d.handleCostCorrection(e)
+	case Shutdown:
+		d.handleShutdown()
 	case TimerFired:
 		if d.now >= d.wakeAt {
 			d.wakeAt = math.MaxInt64
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -124,6 +124,11 @@
 // ClientCanceled reports that the client has canceled a request.
 type ClientCanceled struct{ ID RequestID }
 
+// Shutdown reports that the dispatcher is about to end. Every request that waits gets its final
+// answer, and no further attempt starts. The caller ends the attempts in flight and reports their
+// results as usual.
+type Shutdown struct{}
+
 // TimerFired reports that a timer requested by SetTimer has expired.
 type TimerFired struct{ Token string }
 
@@ -132,4 +137,5 @@
 func (AttemptCompleted) event() {}
 func (ClientCanceled) event()   {}
 func (CostCorrection) event()   {}
+func (Shutdown) event()         {}
 func (TimerFired) event()       {}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -68,7 +68,7 @@
 		return
 	}
 	d.countBudgetRequest()
-	if !d.hasRoomForVolume(e.Volume) {
+	if d.shuttingDown || !d.hasRoomForVolume(e.Volume) {
 		d.emit(Reject{ID: e.ID, RetryAfter: d.cfg.DefaultRetryAfter()})
 		return
 	}
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -101,10 +101,13 @@
 }
 
 // mayRetry reports whether idempotency, the number of attempts and the retry budget permit
-// another attempt of r at n. Retries that other requests have reserved count only against a
+// another attempt of r at n. None is permitted during a shutdown. Retries that other requests have reserved count only against a
 // request without a reservation. If the budget has shrunk below the reservations, the requests
 // with a reservation use the remaining budget in the order in which they ask.
 func (d *Dispatcher) mayRetry(r *request, n *node) bool {
+	if d.shuttingDown {
+		return false
+	}
 	if d.cfg.MaxAttempts > 0 && r.attempts >= d.cfg.MaxAttempts {
 		return false
 	}
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -140,6 +140,15 @@
 	}
 }
 
+// abandonDial ends an attempt that waits for its connection. The dial continues, and another
+// request may use the connection.
+func (f *Forwarder) abandonDial(r *request, result dispatch.AttemptResult) {
+	c := r.conn
+	f.failAttempt(r, result, ResponseInfo{})
+	r.conn = nil
+	c.request = nil
+}
+
 // dedupWindowExpired reports whether the deduplication window of an earlier attempt, which
 // a node may have executed, has expired. Nodes may then execute a further attempt as a new
 // request. The forwarder checks this when the connection is ready, because dialing may take
@@ -196,15 +205,12 @@
 // onAttemptTimeout ends a request's attempt when its timer fires.
 func (f *Forwarder) onAttemptTimeout(r *request) {
 	switch r.stage {
-	case stageDialing: // the dial continues, and another request may use the connection
-		c := r.conn
+	case stageDialing:
 		result := dispatch.NotSent // a client that left early says nothing about the node
 		if f.now-r.attemptStartedAt >= f.cfg.DialTimeout {
 			result = dispatch.ConnectFailed
 		}
-		f.failAttempt(r, result, ResponseInfo{})
-		r.conn = nil
-		c.request = nil
+		f.abandonDial(r, result)
 	case stageInFlight:
 		f.abandonAttempt(r, dispatch.TimedOut)
 	case stageDetached:
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -103,6 +103,10 @@
 	Stale bool
 }
 
+// Shutdown reports that the forwarder is about to end. Every request gets its final response at
+// once, unless its client has received the headers of a response. Later requests are rejected.
+type Shutdown struct{}
+
 // TimerFired reports that the time of the last SetTimer action has been reached.
 type TimerFired struct{}
 
@@ -116,4 +120,5 @@
 func (ResponseHeaders) event()   {}
 func (ResponseCompleted) event() {}
 func (ConnectionLost) event()    {}
+func (Shutdown) event()          {}
 func (TimerFired) event()        {}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -89,6 +89,8 @@
 		f.onResponseCompleted(e)
 	case ConnectionLost:
 		f.onConnectionLost(e)
+	case Shutdown:
+		f.onShutdown()
 	case TimerFired:
 		f.wakeAt = math.MaxInt64
 	}
--- a/internal/modelcheck/apply.go
+++ b/internal/modelcheck/apply.go
@@ -39,6 +39,8 @@
 	case RefreshEndpoints:
 		w.endpointsStale = false
 		w.handle(w.endpointList(dispatch.Snapshot), noLoop)
+	case ShutDownGateway:
+		w.shutDownGateway()
 	case AdvanceBefore:
 		w.now = justBefore(w.nextDeadline())
 	case AdvanceTo:
@@ -192,6 +194,14 @@
 	w.startGateway(dispatch.Cached)
 }
 
+// shutDownGateway tells the forwarder of a shutdown, and checks that it answers every request.
+func (w *World) shutDownGateway() {
+	w.counts.shutdowns++
+	w.shuttingDown = true
+	w.handle(forwarder.Shutdown{}, noLoop)
+	w.checkShutdown()
+}
+
 // advanceUntil advances the simulated clock from one timer to the next until a condition holds.
 func (w *World) advanceUntil(condition func() bool) {
 	for !condition() {
--- a/internal/modelcheck/checkresponse.go
+++ b/internal/modelcheck/checkresponse.go
@@ -43,6 +43,16 @@
 	}
 }
 
+// checkShutdown checks that each request has its final response after the gateway has begun to shut
+// down, unless its client has received the headers of a response.
+func (w *World) checkShutdown() {
+	for _, r := range w.requests {
+		if r.unfinished() && !r.headersForwarded && !w.responsePending(r) {
+			w.reportViolation(ruleAnswer, "request %d has no response after the shutdown", r.id)
+		}
+	}
+}
+
 // recordHeadersForwarded records that the gateway forwards the headers of a response to the
 // client, and checks that no other response came before.
 func (w *World) recordHeadersForwarded(c *conn) {
--- a/internal/modelcheck/checksend.go
+++ b/internal/modelcheck/checksend.go
@@ -12,7 +12,7 @@
 )
 
 // checkDecision checks that the forwarder decides to send no request to a node that is draining
-// or removed.
+// or removed, and none after a shutdown has begun.
 func (w *World) checkDecision(a forwarder.Action) {
 	send, ok := a.(forwarder.SendRequest)
 	if !ok {
@@ -22,6 +22,9 @@
 		w.reportViolation(ruleDrain, "request %d is sent to %s, which has been draining or removed for %v",
 			send.ID, send.Node, w.now-since)
 	}
+	if w.shuttingDown {
+		w.reportViolation(ruleAnswer, "request %d is sent to %s after the shutdown", send.ID, send.Node)
+	}
 }
 
 // checkSend checks a request at the moment when the event loop sends it.
--- a/internal/modelcheck/coverage.go
+++ b/internal/modelcheck/coverage.go
@@ -53,6 +53,7 @@
 	{"ConnectionLost", []string{"dialing", "inFlight", "streaming", "detached", noStage}},
 	{"BodyStreaming", []string{"inFlight", "detached"}},
 	{"BodySent", []string{"inFlight", "detached"}},
+	{"Shutdown", []string{"waiting", "dialing", "inFlight", "streaming", "detached"}},
 	{"TimerFired", []string{"waiting", "dialing", "inFlight", "streaming", "detached"}},
 	{"EndpointUpdate", []string{"waiting", "dialing", "inFlight", "streaming", "detached"}},
 }
--- a/internal/modelcheck/modelcheck_test.go
+++ b/internal/modelcheck/modelcheck_test.go
@@ -43,6 +43,7 @@
 		{"renew", 20_000},
 		{"silent", 0},
 		{"loops", 20_000},
+		{"shutdown", 0},
 		{"limits", 20_000},
 	} {
 		s := scenario(t, c.name)
@@ -94,6 +95,7 @@
 		{"turn", ruleOrder, func(w *World) { w.cfg.Dispatch.Quiescence = 200 * ms }},
 		{"drain", ruleAnswer, func(w *World) { w.wakeAt = math.MaxInt64 }},    // the forwarder's timer never fires
 		{"drain", ruleDrain, func(w *World) { w.unusableSince["a"] = w.now }}, // the gateway does not know of the drain
+		{"shutdown", ruleAnswer, func(w *World) { w.shuttingDown = true }},    // the gateway does not know of the shutdown
 		{"limits", ruleBudget, func(w *World) { w.cfg.Dispatch.RetryBudget.MinRetries = 0 }},
 		{"doubt", ruleConnection, func(w *World) {
 			for _, conn := range w.conns {
--- a/internal/modelcheck/move.go
+++ b/internal/modelcheck/move.go
@@ -34,6 +34,7 @@
 	RestartNode                      // discovery reports a new process at the address of a node
 	RestartGateway                   // the gateway restarts with a stale endpoint list
 	RefreshEndpoints                 // the gateway receives the current endpoint list
+	ShutDownGateway                  // the gateway begins to shut down
 	AdvanceBefore                    // the clock advances to just before the next deadline
 	AdvanceTo                        // the clock advances to the next deadline
 	kindCount
@@ -84,6 +85,7 @@
 	RestartNode:      {"renew", nodeTarget, 1},
 	RestartGateway:   {"crash", noTarget, 1},
 	RefreshEndpoints: {"truth", noTarget, 2},
+	ShutDownGateway:  {"shutdown", noTarget, 1},
 	AdvanceBefore:    {"before", noTarget, 3},
 	AdvanceTo:        {"reach", noTarget, 3},
 }
--- a/internal/modelcheck/moves.go
+++ b/internal/modelcheck/moves.go
@@ -57,6 +57,9 @@
 	if w.anyUnfinished() {
 		l.addWithin(w.counts.gatewayRestarts, w.scenario.limits.gatewayRestarts, RestartGateway, 0)
 	}
+	if !w.shuttingDown {
+		l.addWithin(w.counts.shutdowns, w.scenario.limits.shutdowns, ShutDownGateway, 0)
+	}
 	if w.endpointsStale {
 		l.add(RefreshEndpoints, 0)
 	}
--- a/internal/modelcheck/scenarios.go
+++ b/internal/modelcheck/scenarios.go
@@ -26,6 +26,7 @@
 		crashScenario(),
 		doubtScenario(),
 		loopsScenario(),
+		shutdownScenario(),
 		limitsScenario(),
 		threeScenario(),
 		lostScenario(),
@@ -233,6 +234,20 @@
 	}
 }
 
+func shutdownScenario() Scenario {
+	return Scenario{
+		Name:        "shutdown",
+		Description: "the gateway shuts down while requests wait, are in flight and stream in both directions",
+		requests: []requestSpec{
+			{class: idempotentClass, streamed: true},
+			{class: orderedClass, key: "k", notReplayable: true},
+		},
+		nodes:         nodeAndSuccessor()[:1],
+		limits:        moveCounts{shutdowns: 1, streams: 1, bodyStreams: 1},
+		arrivalWindow: 20 * ms,
+	}
+}
+
 func limitsScenario() Scenario {
 	return Scenario{
 		Name:        "limits",
--- a/internal/modelcheck/world.go
+++ b/internal/modelcheck/world.go
@@ -32,6 +32,7 @@
 	// unusableSince maps each node that the gateway must not use to the start of that period.
 	unusableSince  map[dispatch.NodeID]time.Duration
 	endpointsStale bool // the gateway has restarted and uses an old endpoint list
+	shuttingDown   bool // the gateway has begun to shut down
 	counts         moveCounts
 	checker        checker
 
@@ -47,6 +48,7 @@
 	adds            int // nodes that discovery adds
 	nodeRestarts    int
 	gatewayRestarts int
+	shutdowns       int
 	cancels         int
 	failedDials     int
 	resets          int // connections that break while the node has a request
@@ -156,6 +158,7 @@
 	}
 	w.fwd = f
 	w.wakeAt = math.MaxInt64
+	w.shuttingDown = false
 	w.checker.reset()
 	w.handle(w.endpointList(kind), noLoop)
 	w.runLoops()
--- a/lab/mutation/forwarder.go
+++ b/lab/mutation/forwarder.go
@@ -7,6 +7,7 @@
 	responsesFile = "forwarder/responses.go"
 	connPoolFile  = "forwarder/connpool.go"
 	endpointsFile = "forwarder/endpoints.go"
+	shutdownFile  = "forwarder/shutdown.go"
 )
 
 // forwarderMutants lists the mutants of the forwarder.
@@ -102,8 +103,26 @@
 	{
 		Name: "a connection dialed too late is left with its request",
 		File: attemptsFile,
-		From: "\t\tf.failAttempt(r, result, ResponseInfo{})\n\t\tr.conn = nil\n\t\tc.request = nil",
-		To:   "\t\tf.failAttempt(r, result, ResponseInfo{})\n\t\tr.conn = nil\n\t\t_ = c",
+		From: "\tf.failAttempt(r, result, ResponseInfo{})\n\tr.conn = nil\n\tc.request = nil",
+		To:   "\tf.failAttempt(r, result, ResponseInfo{})\n\tr.conn = nil\n\t_ = c",
+	},
+	{
+		Name: "a shutdown leaves the attempts in flight",
+		File: shutdownFile,
+		From: "\tcase stageInFlight:\n\t\tf.abandonAttempt(r, dispatch.Canceled)",
+		To:   "\tcase stageInFlight:",
+	},
+	{
+		Name: "a shutdown leaves an upload that streams",
+		File: shutdownFile,
+		From: "\tcase stageDetached:\n\t\tf.respond(r, Fail{ID: r.req.ID, Loop: r.loop})",
+		To:   "\tcase stageDetached:",
+	},
+	{
+		Name: "the dispatcher is not told of a shutdown",
+		File: shutdownFile,
+		From: "\tf.notify(dispatch.Shutdown{})\n",
+		To:   "",
 	},
 	{
 		Name: "an attempt that timed out keeps its connection",
--- a/trace/convert.go
+++ b/trace/convert.go
@@ -225,6 +225,8 @@
 		r.ClientCanceled = &clientCanceledRecord{ID: uint64(e.ID)}
 	case dispatch.CostCorrection:
 		r.CostCorrection = &costCorrectionRecord{Volume: string(e.Volume), Node: string(e.Node), Units: e.Units}
+	case dispatch.Shutdown:
+		r.Shutdown = &shutdownRecord{}
 	case dispatch.TimerFired:
 		r.TimerFired = &timerFiredRecord{Token: e.Token}
 	}
@@ -254,6 +256,8 @@
 			Node:   dispatch.NodeID(r.CostCorrection.Node),
 			Units:  r.CostCorrection.Units,
 		}, nil
+	case r.Shutdown != nil:
+		return dispatch.Shutdown{}, nil
 	case r.TimerFired != nil:
 		return dispatch.TimerFired{Token: r.TimerFired.Token}, nil
 	}
--- a/trace/record.go
+++ b/trace/record.go
@@ -76,6 +76,7 @@
 	AttemptCompleted *attemptCompletedRecord `json:"out,omitempty"`
 	ClientCanceled   *clientCanceledRecord   `json:"gone,omitempty"`
 	CostCorrection   *costCorrectionRecord   `json:"meas,omitempty"`
+	Shutdown         *shutdownRecord         `json:"shutdown,omitempty"`
 	TimerFired       *timerFiredRecord       `json:"fired,omitempty"`
 	Actions          []string                `json:"a,omitempty"`
 }
@@ -128,6 +129,8 @@
 	Units  float64 `json:"Units"`
 }
 
+type shutdownRecord struct{}
+
 type timerFiredRecord struct {
 	Token string `json:"Token"`
 }
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -113,6 +113,30 @@
 	}
 }
 
+// TestReplayOfShutdown checks that a replay repeats what a dispatcher decides during a shutdown.
+func TestReplayOfShutdown(t *testing.T) {
+	var out bytes.Buffer
+	w, err := NewWriter(&out, testConfig(), 1, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := dispatch.New(testConfig(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &randomDispatcher{d: d, w: w}
+	r.handle(dispatch.EndpointUpdate{Kind: dispatch.Snapshot, Nodes: []dispatch.Node{{ID: "a"}}})
+	r.handle(dispatch.Shutdown{})
+	r.handle(dispatch.Request{ID: 1, Volume: "v", Units: 1, Dispatchers: 1, Timeout: time.Second})
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	res, err := Replay(&out)
+	if err != nil || res.Divergence != nil || res.Events != 3 {
+		t.Fatalf("replay: got result %+v, divergence %+v, error %v, want 3 events without a divergence", res, res.Divergence, err)
+	}
+}
+
 func TestReplayFindsDivergence(t *testing.T) {
 	var out bytes.Buffer
 	w, err := NewWriter(&out, testConfig(), 1, 10)
