gateway: a draining gateway announces the close of a connection

Callers whose request was in flight at SIGTERM got a response without Connection: close, and the connection closed behind it: the next request, sent in good faith, was read and discarded without an answer.

Cause: appendHead used closeConn as readHead had set it, before the drain; finish closed every connection of a draining gateway. Change: appendHead looks at the drain; finish closes only what was announced and otherwise reads on, so the next request is answered, with the announcement.

Measured: TestDrainAnnouncesTheClose and TestDrainAnswersTheNextRequest failed before (close false; unexpected EOF) and pass; gateway and internal/e2e pass without -race.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"chalkstand/fake/storagenode"
 	kit "chalkstand/internal/testkit"
 )
 
@@ -81,3 +82,47 @@
 	}
 	wait()
 }
+
+// TestDrainAnnouncesTheClose guards against requests that are discarded because their clients cannot know that the
+// connection closes: the response to a request that was in flight when the gateway began to drain must say so.
+func TestDrainAnnouncesTheClose(t *testing.T) {
+	s := kit.Settings(1)
+	site := kit.Start(t, s, func(_ int, c *storagenode.Config) { c.PerUnit = 4 * earlyReturn })
+	site.Data[0].AddBucket("photos", time.Now())
+	site.Data[0].Store("photos", "small", []byte("a photo"))
+	client := dialTestClient(t, site.Addr, "/photos/small")
+	client.sendRequest(t, kit.Secret)
+	waitUntil(t, "the request is in flight", func() bool { return site.Gateway.InFlight() == 1 })
+	wait := startDrain(t, site)
+	if resp := client.readResponse(t); resp.Status != http.StatusOK || !resp.Close {
+		t.Errorf("got response %v, close %t, want status 200 on a connection that closes", resp, resp.Close)
+	}
+	wait()
+}
+
+// TestDrainAnswersTheNextRequest guards against the same loss where the head of the response was sent before the
+// drain and could not announce the close: the request that the client has sent behind it still gets a response.
+func TestDrainAnswersTheNextRequest(t *testing.T) {
+	const size = 32 << 20 // far more than the kernel buffers
+	site := kit.Start(t, kit.Settings(1), nil)
+	site.Data[0].AddBucket("photos", time.Now())
+	site.Data[0].Store("photos", "large", make([]byte, size))
+	client := dialTestClient(t, site.Addr, "/photos/large")
+	client.sendRequest(t, kit.Secret)
+	resp, err := http.ReadResponse(client.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	client.path = "/photos/none"
+	client.sendRequest(t, kit.Secret)
+	wait := startDrain(t, site)
+	if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil || resp.Close {
+		t.Errorf("first response: read %d bytes, error %v, close %t; want %d bytes of a response from before the drain",
+			n, err, resp.Close, size)
+	}
+	if next := client.readResponse(t); next.Status != http.StatusNotFound || !next.Close {
+		t.Errorf("next request: got response %v, close %t, want status 404 on a connection that closes", next, next.Close)
+	}
+	wait()
+}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -20,6 +20,9 @@
 	if t.body != nil && !t.bodyComplete { // the parser would take the unread rest of the body for a request
 		t.closeConn = true
 	}
+	if w.gateway.draining.Load() {
+		t.closeConn = true
+	}
 	b := http1.AppendStatus(w.scratch[:0], status)
 	b = http1.AppendHeader(b, "Server", "chalkstand")
 	b = http1.AppendHeader(b, "Date", w.httpDate())
--- a/gateway/transaction.go
+++ b/gateway/transaction.go
@@ -118,7 +118,7 @@
 }
 
 // finish ends a transaction after its response has been written. The connection then reads the next
-// request, or closes.
+// request, or closes if the response has announced it.
 func (t *transaction) finish() {
 	if t.responded {
 		return
@@ -130,7 +130,7 @@
 	t.streamingFrom = nil
 	t.upload = nil
 	c.current = nil
-	if t.closeConn || c.worker.gateway.draining.Load() {
+	if t.closeConn {
 		c.setState(stateLingering)
 		c.closeAfterResponse()
 		return
