gateway: Drain waits for clients that are still sending behind their last response

Callers that got their final answer while they were sending (an upload at a hung node, at the end of a shutdown) had their connection reset when the gateway ended: the write failed and the answer could be lost.

Cause: clientConn.busy did not count lingering connections, and Close closes a socket with unread input, which resets it. The drain counts them now (openClients) and waits, within its own time, until the client closes or has sent nothing for 2 s; alone they make no error. A drain whose last poll ended with its time no longer takes the missing counts for none.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -18,8 +19,20 @@
 	maxFinalResponseTime = lingerTimeout
 )
 
+// openClients counts the client connections that a drain waits for.
+type openClients struct {
+	busy      int // a request has arrived in part, or has no response that the kernel has accepted completely
+	lingering int // the last response is written, and the client may still be sending
+}
+
+func (o *openClients) add(other openClients) {
+	o.busy += other.busy
+	o.lingering += other.lingering
+}
+
 // Drain stops accepting connections and closes the idle ones. It waits until every request of which a
-// part has arrived has its response, and until the kernel has accepted all responses.
+// part has arrived has its response, until the kernel has accepted all responses, and until clients that
+// were still sending have had the time to read theirs.
 //
 // A tenth of the time that ctx leaves, from 0.2 s to 2 s, is kept for the requests that are still open then.
 // They get their final responses: a rejection if a retry is harmless, and an error otherwise. Only a response
@@ -34,19 +47,30 @@
 	finalTime := finalResponseTime(ctx)
 	serving, cancel := contextUntil(ctx, finalTime)
 	defer cancel()
-	err := g.awaitClients(serving, (*loopWorker).drainClients)
-	if err == nil {
+	open, done := g.awaitClients(serving, (*loopWorker).drainClients)
+	if done {
 		return nil
 	}
+	err := g.drainError(serving, open)
 	g.core.handle(nil, forwarder.Shutdown{})
 	final, cancelFinal := context.WithTimeout(context.WithoutCancel(ctx), finalTime)
 	defer cancelFinal()
-	if finalErr := g.awaitClients(final, (*loopWorker).rejectAndDrainClients); finalErr != nil {
-		return fmt.Errorf("%w; after the final responses: %w", err, finalErr)
+	open, done = g.awaitClients(final, (*loopWorker).rejectAndDrainClients)
+	if finalErr := g.drainError(final, open); !done && finalErr != nil {
+		return errors.Join(err, fmt.Errorf("after the final responses: %w", finalErr))
 	}
 	return err
 }
 
+// drainError returns an error that wraps ctx.Err() if requests are open at the end of ctx.
+func (g *Gateway) drainError(ctx context.Context, open openClients) error {
+	inFlight := g.inFlight.Load()
+	if open.busy == 0 && inFlight == 0 {
+		return nil
+	}
+	return fmt.Errorf("gateway: %d requests still in flight on %d connections: %w", inFlight, open.busy, ctx.Err())
+}
+
 // finalResponseTime returns the part of the time of Drain that is kept for the final responses.
 func finalResponseTime(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
@@ -65,62 +89,65 @@
 	return context.WithDeadline(ctx, deadline.Add(-before))
 }
 
-// awaitClients waits until no client connection is busy and no request is open. It calls drain on the loop of each
-// worker again and again, which returns the number of busy connections. If ctx ends first, awaitClients returns an
-// error that wraps ctx.Err().
-func (g *Gateway) awaitClients(ctx context.Context, drain func(*loopWorker) int) error {
+// awaitClients waits until no client connection and no request is open. It calls drain on the loop of each worker
+// again and again. If ctx ends first, it returns false and the last known count of open connections.
+func (g *Gateway) awaitClients(ctx context.Context, drain func(*loopWorker) openClients) (open openClients, done bool) {
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
 	for {
-		busy, err := g.drainClients(ctx, drain)
-		if err != nil {
-			return fmt.Errorf("gateway: %d requests still in flight: %w", g.inFlight.Load(), err)
+		count, complete := g.drainClients(ctx, drain)
+		if !complete {
+			return open, false
 		}
-		if busy == 0 && g.inFlight.Load() == 0 {
-			return nil
+		open = count
+		if open == (openClients{}) && g.inFlight.Load() == 0 {
+			return open, true
 		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			return fmt.Errorf("gateway: %d requests still in flight on %d connections: %w", g.inFlight.Load(), busy, ctx.Err())
+			return open, false
 		}
 	}
 }
 
-// drainClients calls drain on the loop of each worker and returns the sum of the busy connections. If ctx ends
-// first, it returns ctx.Err().
-func (g *Gateway) drainClients(ctx context.Context, drain func(*loopWorker) int) (busy int, err error) {
-	counts := make(chan int, len(g.workers))
+// drainClients calls drain on the loop of each worker and returns the sum of the results. It returns false if ctx
+// ends before every loop has returned one.
+func (g *Gateway) drainClients(ctx context.Context, drain func(*loopWorker) openClients) (sum openClients, complete bool) {
+	results := make(chan openClients, len(g.workers))
 	for _, w := range g.workers {
-		w.loop.PostOrDrop(func() { counts <- drain(w) }, func() { counts <- 0 }) // a loop that has ended has no clients
+		// A loop that has ended has no clients.
+		w.loop.PostOrDrop(func() { results <- drain(w) }, func() { results <- openClients{} })
 	}
 	for range g.workers {
 		select {
-		case n := <-counts:
-			busy += n
+		case open := <-results:
+			sum.add(open)
 		case <-ctx.Done():
-			return busy, ctx.Err()
+			return sum, false
 		}
 	}
-	return busy, nil
+	return sum, true
 }
 
-// drainClients closes the idle client connections and returns the number of busy ones.
-func (w *loopWorker) drainClients() (busy int) {
+// drainClients closes the idle client connections and counts the other ones.
+func (w *loopWorker) drainClients() (open openClients) {
 	for c := range w.clients {
 		switch {
 		case c.idle():
 			c.conn.Close()
 		case c.busy():
-			busy++
+			open.busy++
+		default:
+			open.lingering++
 		}
 	}
-	return busy
+	return open
 }
 
 // rejectAndDrainClients is like drainClients, but first rejects the requests of which only a part has arrived. The
 // forwarder has ended the requests to nodes before.
-func (w *loopWorker) rejectAndDrainClients() (busy int) {
+func (w *loopWorker) rejectAndDrainClients() openClients {
 	for c := range w.clients {
 		switch {
 		case c.inBackoff():
--- a/gateway/finalanswer_test.go
+++ b/gateway/finalanswer_test.go
@@ -156,3 +156,34 @@
 		})
 	}
 }
+
+// TestDrainAnswersClientThatStillSends guards against an answer that is lost in a reset, because the gateway closes a
+// connection whose client is still sending its body.
+func TestDrainAnswersClientThatStillSends(t *testing.T) {
+	const size = 16 << 20 // more than the kernel buffers
+	site, received := startWithSilentNode(t, false)
+	client := dialTestClient(t, site.Addr, "/photos/k")
+	written := make(chan error, 1)
+	go func() {
+		r := site.NewRequest(http.MethodPut, "/photos/k", bytes.NewReader(make([]byte, size)))
+		written <- r.Write(client)
+	}()
+	<-received
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	closed := make(chan error, 1)
+	go func() {
+		_ = site.Gateway.Drain(ctx) // the error says that the upload was open
+		closed <- site.Gateway.Close()
+	}()
+	if err := <-written; err != nil {
+		t.Errorf("writing the request: got error %v, want the whole body to be taken", err)
+	}
+	if got := client.readResponse(t); got.Status != http.StatusInternalServerError || !got.Close {
+		t.Errorf("got response %v, close %t, want status 500 on a connection that closes", got, got.Close)
+	}
+	_ = client.Close() // ends the wait of Drain for this client
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+}
