gateway: Close resets connections in the middle of a response

A client of HTTP/1.0 that read an object of unknown length took the part that it had for the whole, when the gateway ended at the end of a drain's time: the end of the connection is the end of such a response.

Cause: Loop.closeAll closes all connections alike. Before the loops stop, each worker now resets those in the middle of a response, as abortStream does for a node's failure. Measured: TestCloseResetsResponsesThatHaveBegun failed before (no error at the end of the part) and passes with -race. That Close also answers open requests was tried and taken back: fault injection plays a crash with it, which would then have lost nothing; Drain is the end that answers, and the comment says so.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -159,6 +159,21 @@
 	return w.drainClients()
 }
 
+// abortResponses resets the connections of clients that have not got all of a response. The end of a connection
+// without a reset could be taken for the end of the response.
+func (w *loopWorker) abortResponses() {
+	for c := range w.clients {
+		t := c.current
+		switch {
+		case t != nil && t.headersSent:
+			t.cancelNodeRequests()
+			t.abortStream()
+		case c.conn.BufferedOutput() > 0:
+			c.conn.Reset()
+		}
+	}
+}
+
 // idle reports whether the gateway can close the connection without harm: no part of a request has
 // arrived, and the kernel has accepted the last response. The check for unread input is the last one
 // because it needs a system call.
--- a/gateway/finalanswer_test.go
+++ b/gateway/finalanswer_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -187,3 +189,36 @@
 		t.Error(err)
 	}
 }
+
+// TestCloseResetsResponsesThatHaveBegun guards against a response that looks complete although it is cut off: a client
+// of HTTP/1.0 finds the end of a response of unknown length by the end of the connection.
+func TestCloseResetsResponsesThatHaveBegun(t *testing.T) {
+	part := make([]byte, 256<<10) // more than limits.replay, so that it is streamed
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(part) // the client's end checks what arrives
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(node.Close)
+	site := kit.Start(t, kit.Settings(1), nil)
+	endpoint := forwarder.Node{Addr: node.Listener.Addr().String(), Node: dispatch.Node{ID: "streaming"}}
+	site.Gateway.UpdateEndpoints(dispatch.Snapshot, []forwarder.Node{endpoint})
+	var head bytes.Buffer
+	if err := site.NewRequest(http.MethodGet, "/photos/k", nil).Write(&head); err != nil {
+		t.Fatal(err)
+	}
+	client := dialTestClient(t, site.Addr, "/photos/k")
+	kit.Must(client.Write(bytes.Replace(head.Bytes(), []byte("HTTP/1.1"), []byte("HTTP/1.0"), 1)))(t)
+	resp, err := http.ReadResponse(client.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	kit.Must(io.ReadFull(resp.Body, make([]byte, len(part))))(t)
+	if err := site.Gateway.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("end of a response that is cut off: got error %v, want a reset", err)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -129,9 +129,13 @@
 }
 
 // Close stops the gateway at once and waits until its goroutines have ended. Requests in flight get
-// no response. Close always returns nil.
+// no response; a program that must answer them calls Drain first. A response that has begun is cut off by
+// a reset of its connection. Close always returns nil.
 func (g *Gateway) Close() error {
 	g.closeOnce.Do(func() {
+		for _, w := range g.workers {
+			w.loop.Post(w.abortResponses)
+		}
 		g.core.stop()
 		for _, w := range g.workers {
 			w.loop.Stop()
