dispatch: requests that may still arrive keep their room in the token bucket

Cause: the limit is counted where requests arrive, and the dispatcher earned tokens anew from the moment of sending. What a cut holds back for seconds arrives together with what was sent since, up to twice the bucket.

Measured: TestHeldRequestsStayWithinTheRateLimit failed before (52 units out, bucket 48).

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -49,7 +49,7 @@
 		d.dropRetryClaim(r)
 		d.budgetRetries = append(d.budgetRetries, d.now)
 	} else {
-		r.volume.tokens -= r.Units
+		d.chargeTokens(r)
 		d.chargeReserve(r.volume, r.Units)
 	}
 	n.slowStartDebt += r.Units
@@ -86,6 +86,9 @@
 	if e.Result.maybeExecuted() {
 		r.markAmbiguous(n)
 	}
+	if e.Result.answered() {
+		d.confirmArrival(r)
+	}
 	if r.keyQueue != nil && e.Result.maybeRunning() {
 		d.extendQuiescence(r.keyQueue)
 	}
@@ -102,6 +105,9 @@
 	return a != Rejected && a != ConnectFailed && a != NotSent
 }
 
+// answered reports whether the node has answered the attempt, so that the request has arrived there.
+func (a AttemptResult) answered() bool { return a == OK || a == ServerError || a == Rejected }
+
 // maybeRunning reports whether the node may still be executing a request whose attempt ended
 // with the result a.
 func (a AttemptResult) maybeRunning() bool {
--- a/dispatch/quota.go
+++ b/dispatch/quota.go
@@ -1,6 +1,12 @@
 // This file implements the rate limit and the reserve of a volume. It decides when the rate
-// limit admits a request, and whether a volume is within its reserve. It owns volume.tokens and
-// volume.reserve, from which send subtracts the cost of each request.
+// limit admits a request, and whether a volume is within its reserve. It owns volume.tokens,
+// volume.unconfirmedUnits and volume.reserve.
+//
+// A rate limit is counted where requests arrive, and a request may arrive long after it was sent: its connection
+// comes up late, or the network holds it back. Requests that were sent over several seconds may then arrive
+// together. The cost of a request that may still arrive therefore takes up room in the token bucket. The bucket
+// earns that room back only from the time on at which the request is known to have arrived, or at which no attempt
+// of it is outstanding any more.
 
 package dispatch
 
@@ -13,6 +19,10 @@
 // so that rounding errors do not overdraw it.
 const tokenTolerance = 1e-6
 
+// arrivalRecheck is the time after which a request that waits for room in the token bucket is examined again, if
+// that room depends on the arrival of other requests.
+const arrivalRecheck = 20 * time.Millisecond
+
 // rateLimitWait returns how long the volume's rate limit delays r, including the delay by
 // requests that are queued before r. exceedsLimit reports whether r costs more units than the
 // token bucket can hold. The rate limit does not apply to retries.
@@ -29,7 +39,35 @@
 	if r.state != queued {
 		missing += v.queuedUnits
 	}
-	return v.earningTime(missing), false
+	wait = v.earningTime(missing)
+	if missing > 0 && r.Units > v.tokenCeiling() {
+		wait = max(wait, arrivalRecheck)
+	}
+	return wait, false
+}
+
+// chargeTokens charges the rate limit of a volume for the first attempt of r, which may arrive at any time until
+// confirmArrival.
+func (d *Dispatcher) chargeTokens(r *request) {
+	v := r.volume
+	d.refillTokens(v)
+	v.tokens -= r.Units
+	v.unconfirmedUnits += r.Units
+	r.arrivalUnconfirmed = true
+}
+
+// confirmArrival records that r has arrived at its node or cannot arrive any more.
+func (d *Dispatcher) confirmArrival(r *request) {
+	if !r.arrivalUnconfirmed {
+		return
+	}
+	r.arrivalUnconfirmed = false
+	v := r.volume
+	d.refillTokens(v)
+	v.unconfirmedUnits -= r.Units
+	if v.unconfirmedUnits <= negligibleUnits {
+		v.unconfirmedUnits = 0
+	}
 }
 
 // earningTime returns how long this dispatcher's share of the rate limit takes to earn the given units.
@@ -47,12 +85,16 @@
 	return (v.plan.Burst+v.plan.Slack)/float64(v.dispatchers) - tokenTolerance
 }
 
+// tokenCeiling returns how many units of this dispatcher's share of the token bucket can be unspent beside the
+// requests that may still arrive.
+func (v *volume) tokenCeiling() float64 { return v.tokenCapacity() - v.unconfirmedUnits }
+
 // refillTokens adds the tokens that this dispatcher's share of the bucket has earned since the
 // last call. The share starts empty, because a restarted dispatcher cannot know what it spent
 // before the restart. The tokens earned since the start are certainly unspent.
 func (d *Dispatcher) refillTokens(v *volume) {
 	v.tokens += (d.now - v.tokensUpdatedAt).Seconds() * v.plan.RateLimit / float64(v.dispatchers)
-	v.tokens = min(v.tokens, v.tokenCapacity())
+	v.tokens = min(v.tokens, v.tokenCeiling())
 	v.tokensUpdatedAt = d.now
 }
 
@@ -90,7 +132,7 @@
 		return
 	}
 	d.refillTokens(v)
-	v.tokens = min(v.tokens-e.Units, v.tokenCapacity())
+	v.tokens = min(v.tokens-e.Units, v.tokenCeiling())
 	d.chargeReserve(v, e.Units)
 	for _, f := range v.flows {
 		if f.node == n {
--- a/dispatch/quota_test.go
+++ b/dispatch/quota_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -82,3 +83,36 @@
 		t.Errorf("units sent at once: got %g, want at most a twelfth of the bucket", units)
 	}
 }
+
+// TestHeldRequestsStayWithinTheRateLimit guards against a volume that exceeds its rate limit where requests arrive
+// long after they were sent, as when a partition ends: what is out and may arrive together must fit the bucket.
+func TestHeldRequestsStayWithinTheRateLimit(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[idempotentClass].LatencyObjective = time.Hour
+	cfg.Classes[idempotentClass].Deadline = time.Hour
+	r := newFixture(t, cfg)
+	const nodes = 40 // each has the first request of its shard in flight
+	list := make([]Node, nodes)
+	for i := range list {
+		list[i] = Node{ID: NodeID(fmt.Sprint("n", i)), Shard: Shard(i)}
+	}
+	r.updateEndpoints(Snapshot, list...)
+	capacity := cfg.Plans[limitedPlan].Burst + cfg.Plans[limitedPlan].Slack
+	for shard := range nodes {
+		r.request(Request{Shard: Shard(shard), Plan: limitedPlan, Units: 4})
+		r.advance(100 * ms)
+		if out := r.outstandingUnits(); out > capacity {
+			t.Fatalf("got %g units out that may arrive together, want at most the bucket of %g", out, capacity)
+		}
+	}
+}
+
+// outstandingUnits returns the cost of all requests with an attempt in flight.
+func (r *fixture) outstandingUnits() (sum float64) {
+	for _, q := range r.d.requests {
+		if q.outstanding {
+			sum += q.Units
+		}
+	}
+	return sum
+}
--- a/dispatch/volumes.go
+++ b/dispatch/volumes.go
@@ -35,6 +35,7 @@
 	// The file quota.go owns the following fields.
 	tokens           float64 // units in this dispatcher's share of the rate limit's token bucket
 	tokensUpdatedAt  time.Duration
+	unconfirmedUnits float64 // units of sent requests that may still arrive at a node
 	reserve          float64 // unused units of the reserve, as far as this dispatcher knows
 	reserveUpdatedAt time.Duration
 
