--- a/dispatch/quota.go
+++ b/dispatch/quota.go
@@ -2,11 +2,11 @@
 // limit admits a request, and whether a volume is within its reserve. It owns volume.tokens,
 // volume.unconfirmedUnits and volume.reserve.
 //
-// A rate limit is counted where requests arrive, and a request may arrive long after it was sent: its connection
-// comes up late, or the network holds it back. Requests that were sent over several seconds may then arrive
-// together. The cost of a request that may still arrive therefore takes up room in the token bucket. The bucket
-// earns that room back only from the time on at which the request is known to have arrived, or at which no attempt
-// of it is outstanding any more.
+// A rate limit is counted where requests arrive, and a request may arrive long after it was sent:
+// its connection comes up late, or the network holds it back. Requests that were sent over several
+// seconds may then arrive together. The cost of a request that may still arrive therefore takes up
+// room in the token bucket. The bucket earns that room back only from the time on at which a node has
+// answered the request, or at which the request has ended.
 
 package dispatch
 
@@ -19,8 +19,8 @@
 // so that rounding errors do not overdraw it.
 const tokenTolerance = 1e-6
 
-// arrivalRecheck is the time after which a request that waits for room in the token bucket is examined again, if
-// that room depends on the arrival of other requests.
+// arrivalRecheck is the time after which a request that waits for room in the token bucket is
+// examined again, if that room depends on the arrival of other requests.
 const arrivalRecheck = 20 * time.Millisecond
 
 // rateLimitWait returns how long the volume's rate limit delays r, including the delay by
@@ -46,8 +46,8 @@
 	return wait, false
 }
 
-// chargeTokens charges the rate limit of a volume for the first attempt of r, which may arrive at any time until
-// confirmArrival.
+// chargeTokens charges the rate limit of a volume for the first attempt of r. The request may arrive
+// at any time until confirmArrival is called.
 func (d *Dispatcher) chargeTokens(r *request) {
 	v := r.volume
 	d.refillTokens(v)
@@ -85,8 +85,8 @@
 	return (v.plan.Burst+v.plan.Slack)/float64(v.dispatchers) - tokenTolerance
 }
 
-// tokenCeiling returns how many units of this dispatcher's share of the token bucket can be unspent beside the
-// requests that may still arrive.
+// tokenCeiling returns how many units of this dispatcher's share of the token bucket can be unspent
+// beside the requests that may still arrive.
 func (v *volume) tokenCeiling() float64 { return v.tokenCapacity() - v.unconfirmedUnits }
 
 // refillTokens adds the tokens that this dispatcher's share of the bucket has earned since the
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -46,7 +46,7 @@
 	concurrency        int           // requests in flight at the node with the last attempt, when it was sent
 	deadline           time.Duration // when the client gives up
 	answerBy           time.Duration // when a response must be here to reach the client in time
-	arrivalUnconfirmed bool          // whether the rate limit counts r among the requests that may still arrive
+	arrivalUnconfirmed bool          // whether r may still arrive at a node, by quota.go
 	withinReserve      bool          // whether the volume had reserve for the request when it was admitted
 	arrivalVirtualTime float64       // virtual time of the node when the request was queued there
 
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -101,9 +101,10 @@
 }
 
 // mayRetry reports whether idempotency, the number of attempts and the retry budget permit
-// another attempt of r at n. None is permitted during a shutdown. Retries that other requests have reserved count only against a
-// request without a reservation. If the budget has shrunk below the reservations, the requests
-// with a reservation use the remaining budget in the order in which they ask.
+// another attempt of r at n. None is permitted during a shutdown. Retries that other requests have
+// reserved count only against a request without a reservation. If the budget has shrunk below the
+// reservations, the requests with a reservation use the remaining budget in the order in which they
+// ask.
 func (d *Dispatcher) mayRetry(r *request, n *node) bool {
 	if d.shuttingDown {
 		return false
--- a/dispatch/shutdown.go
+++ b/dispatch/shutdown.go
@@ -23,5 +23,6 @@
 
 // requestsByArrival returns the records of all requests in the order of their arrival.
 func (d *Dispatcher) requestsByArrival() []*request {
-	return slices.SortedFunc(maps.Values(d.requests), func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) })
+	byArrival := func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) }
+	return slices.SortedFunc(maps.Values(d.requests), byArrival)
 }
