--- a/cmd/chalkstand/badclients_fixture_test.go
+++ b/cmd/chalkstand/badclients_fixture_test.go
@@ -98,7 +98,6 @@
 	}
 	t.Cleanup(discovery.Stop)
 	r := &limitedRun{}
-	addr := freeTestAddress(t)
 	var endpoints []fakediscovery.Endpoint
 	for shard := range shards {
 		node, err := respnode.Start()
@@ -112,6 +111,7 @@
 			ID: fmt.Sprintf("s%d", shard), Addr: node.Addr(), State: "Ready", Shard: shard,
 		})
 	}
+	addr := freeTestAddress(t) // after the nodes have their ports, so that none of them gets this one
 	f := fakeNodes{nodes: shards, configFile: filepath.Join(t.TempDir(), "config.json"), listen: addr}
 	if err := f.writeConfig(discovery.Addr(), endpoints); err != nil {
 		t.Fatal(err)
