modelcheck: the shutdown scenario's upload detaches from the dispatcher

Cause: its upload was ordered by key, and such an upload never detaches, so the mutant 'a shutdown leaves an upload that streams' was missed. Change: an unordered, keyed upload.

--- a/internal/modelcheck/scenarios.go
+++ b/internal/modelcheck/scenarios.go
@@ -240,7 +240,7 @@
 		Description: "the gateway shuts down while requests wait, are in flight and stream in both directions",
 		requests: []requestSpec{
 			{class: idempotentClass, streamed: true},
-			{class: orderedClass, key: "k", notReplayable: true},
+			{class: keyedClass, notReplayable: true},
 		},
 		nodes:         nodeAndSuccessor()[:1],
 		limits:        moveCounts{shutdowns: 1, streams: 1, bodyStreams: 1},
